Add the design, the build, and the shared types

The design page states requirements, modules, messages and failure behaviour. The skeleton holds the types that several modules share: configuration, instance list, the indexed view, rendezvous ranking, rings, errors, logs, metrics and settings. Commands that are not written yet refuse to run.

--- /dev/null
+++ b/src/app/RunStatus.cpp
@@ -0,0 +1,9 @@
+#include "app/Commands.h"
+
+#include "support/UserError.h"
+
+namespace chicoryferry {
+
+int runStatus(const std::vector<std::string>&) { throw UserError("run command", "", "not available yet"); }
+
+}
--- /dev/null
+++ b/src/app/Settings.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "protocol/Endpoint.h"
+#include "support/LogLevel.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace chicoryferry {
+
+// The checked settings of a balancer or agent process. Source: flags and environment variables.
+struct Settings {
+    std::string role; // "balancer" or "agent"
+    std::string instance;
+    std::string availabilityZone;
+    std::uint64_t incarnation { 1 };
+    Endpoint dataAddress;
+    Endpoint peerAddress;
+    Endpoint adminAddress;
+    Endpoint platform;
+    Endpoint fabricAddress; // agent only
+    Endpoint backendServer; // agent only
+    std::chrono::milliseconds drainLimit { std::chrono::hours(8) }; // agent only
+    std::chrono::milliseconds backendSilence { std::chrono::seconds(10) }; // agent only
+    LogLevel logLevel { LogLevel::Info };
+};
+
+// Parses the arguments after the role name; a flag wins over CHICORYFERRY_<NAME>, which wins over the default.
+// Throws UserError that names the flag, the value and what is accepted.
+Settings parseSettings(const std::string& role, const std::vector<std::string>& arguments);
+
+// Parses "250ms", "5s", "10m" or "8h". Throws UserError otherwise.
+std::chrono::milliseconds parseDuration(const std::string&);
+
+}
--- /dev/null
+++ b/src/protocol/ConfigurationDocument.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "protocol/Configuration.h"
+
+#include <cstddef>
+#include <string_view>
+
+namespace chicoryferry {
+
+// Documents above this size are refused; it is the largest value that the platform holds.
+inline constexpr std::size_t maximumDocumentBytes = 1'000'000;
+
+// Parses and checks a configuration document (JSON, design section 5.1) as a whole.
+// Throws ConfigurationError with the path of each fault.
+Configuration parseConfiguration(std::string_view text);
+
+}
--- /dev/null
+++ b/src/protocol/SizeClass.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace chicoryferry {
+
+// How long requests of a route are expected to run. Learned: decided from measured run times.
+enum class SizeClass {
+    Learned,
+    Short,
+    Long,
+};
+
+}
