--- /dev/null
+++ b/src/app/StatusReport.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace chicoryferry {
+
+// What /v1/status answers, as JSON with the same field names.
+struct StatusReport {
+    std::string role;
+    std::string instance;
+    std::uint64_t incarnation { 0 };
+    std::string availabilityZone;
+    std::uint64_t configurationVersion { 0 };
+    std::uint64_t instancesVersion { 0 };
+    std::uint64_t confirmationAgeMs { 0 };
+    std::uint64_t flows { 0 };
+    std::uint64_t requestsInFlight { 0 };
+    bool ready { false };
+    bool draining { false };
+};
+
+}
--- /dev/null
+++ b/src/transport/EventLoop.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace chicoryferry {
+
+// Waits for descriptors with epoll and calls their handlers. One thread.
+class EventLoop {
+public:
+    // Receives the epoll events (EPOLLIN, EPOLLOUT, EPOLLERR, EPOLLHUP) that are pending.
+    using Handler = std::function<void(std::uint32_t events)>;
+
+    // Throws InternalError when no epoll descriptor can be had.
+    EventLoop();
+    ~EventLoop();
+    EventLoop(const EventLoop&) = delete;
+    EventLoop& operator=(const EventLoop&) = delete;
+
+    void add(int descriptor, std::uint32_t events, Handler);
+    void modify(int descriptor, std::uint32_t events);
+
+    // Handlers of a removed descriptor are not called again, also not in the current round.
+    void remove(int descriptor);
+
+    // Waits at most the timeout for events and calls the handlers of those that are pending.
+    void runOnce(std::chrono::milliseconds timeout);
+
+private:
+    int epollDescriptor;
+    std::unordered_map<int, std::shared_ptr<Handler>> handlers;
+};
+
+}
