--- a/src/app/Settings.cpp
+++ b/src/app/Settings.cpp
@@ -1,5 +1,6 @@
 #include "app/Settings.h"
 
+#include "support/Duration.h"
 #include "support/UserError.h"
 
 #include <charconv>
@@ -127,28 +128,6 @@
 
 }
 
-std::chrono::milliseconds parseDuration(const std::string& text)
-{
-    std::uint32_t amount = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), amount);
-    const std::string unit(end, text.data() + text.size());
-    if (error == std::errc()) {
-        if (unit == "ms") {
-            return std::chrono::milliseconds(amount);
-        }
-        if (unit == "s") {
-            return std::chrono::seconds(amount);
-        }
-        if (unit == "m") {
-            return std::chrono::minutes(amount);
-        }
-        if (unit == "h") {
-            return std::chrono::hours(amount);
-        }
-    }
-    throw UserError("parse duration", text, "not a duration such as 250ms, 5s, 10m or 8h");
-}
-
 Settings parseSettings(const std::string& role, const std::vector<std::string>& arguments)
 {
     Settings settings;
--- a/src/app/Settings.h
+++ b/src/app/Settings.h
@@ -31,7 +31,4 @@
 // Throws UserError that names the flag, the value and what is accepted.
 Settings parseSettings(const std::string& role, const std::vector<std::string>& arguments);
 
-// Parses "250ms", "5s", "10m" or "8h". Throws UserError otherwise.
-std::chrono::milliseconds parseDuration(const std::string&);
-
 }
--- /dev/null
+++ b/src/protocol/ConfigurationDocument.cpp
@@ -0,0 +1,252 @@
+#include "protocol/ConfigurationDocument.h"
+
+#include "protocol/ConfigurationError.h"
+#include "protocol/DocumentReader.h"
+#include "support/Error.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+#include <limits>
+#include <map>
+#include <set>
+
+namespace chicoryferry {
+
+namespace {
+
+constexpr std::uint64_t largestNumber = std::numeric_limits<std::int64_t>::max();
+constexpr std::uint64_t mostSlots = 4096;
+constexpr std::uint64_t mostConnections = 65535;
+
+Route readRoute(DocumentReader& reader)
+{
+    reader.allowOnly({ "method", "path", "shareable", "repeatable", "deadline", "sizeClass" });
+    Route route;
+    route.method = reader.text("method", "");
+    route.path = reader.text("path", "/");
+    if (!route.path.starts_with('/')) {
+        reader.fault("path", "expected a path prefix that starts with '/'");
+    }
+    route.shareable = reader.flag("shareable").value_or(false);
+    route.repeatable = reader.flag("repeatable");
+    route.deadline = reader.duration("deadline", route.deadline);
+    route.sizeClass = static_cast<SizeClass>(reader.choice("sizeClass", { "learned", "short", "long" }));
+    if (route.shareable && !route.isRepeatable(route.method)) {
+        reader.fault("shareable", "a route that is not repeatable cannot be shareable");
+    }
+    return route;
+}
+
+Service readService(DocumentReader& reader)
+{
+    reader.allowOnly({ "name", "address", "port", "protocol", "routes" });
+    Service service;
+    service.name = reader.name("name");
+    service.id = serviceId(service.name);
+    service.endpoint.address = reader.address("address");
+    service.endpoint.port = static_cast<std::uint16_t>(reader.number("port", 1, 65535));
+    reader.choice("protocol", { "http" });
+    for (DocumentReader& route : reader.objects("routes", false)) {
+        service.routes.push_back(readRoute(route));
+    }
+    return service;
+}
+
+// Parses "a.b.c.d/length" or a single address. Returns nothing when the text is neither.
+std::optional<Prefix> parsePrefix(const std::string& text)
+{
+    const std::size_t slash = text.find('/');
+    Prefix prefix;
+    prefix.length = 32;
+    try {
+        prefix.address = parseAddress(text.substr(0, slash));
+    } catch (const Error&) {
+        return std::nullopt;
+    }
+    if (slash == std::string::npos) {
+        return prefix;
+    }
+    const char* last = text.data() + text.size();
+    const auto [end, error] = std::from_chars(text.data() + slash + 1, last, prefix.length);
+    if (error != std::errc() || end != last || prefix.length > 32) {
+        return std::nullopt;
+    }
+    return prefix;
+}
+
+CallerGroup readCallerGroup(DocumentReader& reader)
+{
+    reader.allowOnly({ "name", "prefixes" });
+    CallerGroup group;
+    group.name = reader.name("name");
+    for (const std::string& text : reader.texts("prefixes")) {
+        if (const auto prefix = parsePrefix(text)) {
+            group.prefixes.push_back(*prefix);
+        } else {
+            reader.fault("prefixes", fmt::format("'{}' is not an IPv4 prefix \"a.b.c.d/length\"", text));
+        }
+    }
+    return group;
+}
+
+Binding readBinding(DocumentReader& reader)
+{
+    reader.allowOnly({ "service", "callers", "selector" });
+    Binding binding;
+    binding.service = reader.name("service");
+    binding.callers = reader.name("callers");
+    // An absent selector would match every host, which is rarely meant.
+    const std::string selector = reader.name("selector");
+    try {
+        binding.selector = Selector::parse(selector);
+    } catch (const Error& error) {
+        reader.fault("selector", error.what());
+    }
+    return binding;
+}
+
+Host readHost(DocumentReader& reader)
+{
+    reader.allowOnly({ "name", "incarnation", "availabilityZone", "dataAddress", "peerAddress", "slots", "connections",
+        "state", "labels" });
+    Host host;
+    host.name = reader.name("name");
+    host.incarnation = reader.number("incarnation", 0, largestNumber);
+    host.availabilityZone = reader.name("availabilityZone");
+    host.dataAddress = reader.endpoint("dataAddress");
+    host.peerAddress = reader.endpoint("peerAddress");
+    host.slots = static_cast<unsigned>(reader.number("slots", 1, mostSlots));
+    host.connections = static_cast<unsigned>(reader.number("connections", 1, mostConnections, host.connections));
+    host.state = static_cast<HostState>(reader.choice("state", { "active", "draining" }));
+    host.labels = reader.textMap("labels");
+    return host;
+}
+
+// Adds a fault for each element whose key an earlier element has.
+template <typename Element, typename KeyOf>
+void checkUnique(const std::vector<Element>& elements, const std::string& field, const std::string& what, KeyOf keyOf,
+    std::vector<ConfigurationFault>& faults)
+{
+    std::set<decltype(keyOf(elements.front()))> seen;
+    for (std::size_t index = 0; index < elements.size(); ++index) {
+        if (!seen.insert(keyOf(elements[index])).second) {
+            faults.push_back({ fmt::format("/{}/{}", field, index), what });
+        }
+    }
+}
+
+void checkUniqueness(const Configuration& configuration, std::vector<ConfigurationFault>& faults)
+{
+    const auto nameOf = [](const auto& element) { return element.name; };
+    checkUnique(configuration.services, "services", "name is used by an earlier service", nameOf, faults);
+    checkUnique(
+        configuration.services, "services", "address and port are used by an earlier service",
+        [](const Service& service) { return service.endpoint; }, faults);
+    checkUnique(
+        configuration.services, "services", "name has the same identifier as an earlier service's",
+        [](const Service& service) { return service.id; }, faults);
+    checkUnique(configuration.callerGroups, "callerGroups", "name is used by an earlier caller group", nameOf, faults);
+    checkUnique(configuration.hosts, "hosts", "name is used by an earlier host", nameOf, faults);
+    checkUnique(
+        configuration.hosts, "hosts", "dataAddress is used by an earlier host",
+        [](const Host& host) { return host.dataAddress; }, faults);
+    checkUnique(
+        configuration.hosts, "hosts", "peerAddress is used by an earlier host",
+        [](const Host& host) { return host.peerAddress; }, faults);
+    checkUnique(
+        configuration.bindings, "bindings", "service and callers are bound by an earlier binding",
+        [](const Binding& binding) { return binding.service + '\n' + binding.callers; }, faults);
+}
+
+void checkReferences(const Configuration& configuration, std::vector<ConfigurationFault>& faults)
+{
+    std::set<std::string> services;
+    for (const Service& service : configuration.services) {
+        services.insert(service.name);
+    }
+    std::set<std::string> groups;
+    for (const CallerGroup& group : configuration.callerGroups) {
+        groups.insert(group.name);
+    }
+    for (std::size_t index = 0; index < configuration.bindings.size(); ++index) {
+        const Binding& binding = configuration.bindings[index];
+        if (!services.contains(binding.service)) {
+            faults.push_back({ fmt::format("/bindings/{}/service", index), "names no service of this document" });
+        }
+        if (!groups.contains(binding.callers)) {
+            faults.push_back({ fmt::format("/bindings/{}/callers", index), "names no caller group of this document" });
+        }
+    }
+}
+
+// A backend server serves one service, so that no label can route one service's requests to another's server.
+void checkOneServicePerHost(const Configuration& configuration, std::vector<ConfigurationFault>& faults)
+{
+    for (std::size_t index = 0; index < configuration.hosts.size(); ++index) {
+        std::set<std::string> services;
+        for (const Binding& binding : configuration.bindings) {
+            if (binding.selector.matches(configuration.hosts[index].labels)) {
+                services.insert(binding.service);
+            }
+        }
+        if (services.size() > 1) {
+            faults.push_back({ fmt::format("/hosts/{}/labels", index),
+                fmt::format("selected for several services: {}", fmt::join(services, ", ")) });
+        }
+    }
+}
+
+Configuration readConfiguration(DocumentReader& reader)
+{
+    reader.allowOnly({ "version", "retention", "services", "callerGroups", "bindings", "hosts" });
+    Configuration configuration;
+    configuration.version = reader.number("version", 1, largestNumber);
+    configuration.retention = reader.duration("retention", configuration.retention);
+    for (DocumentReader& service : reader.objects("services", true)) {
+        configuration.services.push_back(readService(service));
+    }
+    for (DocumentReader& group : reader.objects("callerGroups", true)) {
+        configuration.callerGroups.push_back(readCallerGroup(group));
+    }
+    for (DocumentReader& binding : reader.objects("bindings", true)) {
+        configuration.bindings.push_back(readBinding(binding));
+    }
+    for (DocumentReader& host : reader.objects("hosts", true)) {
+        configuration.hosts.push_back(readHost(host));
+    }
+    return configuration;
+}
+
+}
+
+Configuration parseConfiguration(std::string_view text)
+{
+    const std::string step = "check configuration";
+    if (text.size() > maximumDocumentBytes) {
+        throw ConfigurationError(step,
+            { { "", fmt::format("document has {} bytes; accepted: at most {}", text.size(), maximumDocumentBytes) } });
+    }
+    std::vector<ConfigurationFault> faults;
+    nlohmann::json document;
+    try {
+        document = nlohmann::json::parse(text);
+    } catch (const nlohmann::json::parse_error& error) {
+        throw ConfigurationError(step, { { "", error.what() } });
+    }
+    DocumentReader reader(document, "", faults);
+    Configuration configuration = readConfiguration(reader);
+    // Relations between elements are checked only when the elements themselves are sound.
+    if (faults.empty()) {
+        checkUniqueness(configuration, faults);
+        checkReferences(configuration, faults);
+        checkOneServicePerHost(configuration, faults);
+    }
+    if (!faults.empty()) {
+        throw ConfigurationError(step, std::move(faults));
+    }
+    return configuration;
+}
+
+}
