--- a/src/app/StatusReport.h
+++ b/src/app/StatusReport.h
@@ -20,4 +20,7 @@
     bool draining { false };
 };
 
+// The report as one JSON object.
+std::string formatStatus(const StatusReport&);
+
 }
--- /dev/null
+++ b/src/coordination/ChangePlan.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace chicoryferry {
+
+struct Configuration;
+
+// What a change means for one service.
+struct ServiceChange {
+    std::string service;
+    std::vector<std::string> gained; // hosts, by name
+    std::vector<std::string> lost;
+    std::vector<std::string> draining; // hosts that the new document marks as draining and the old one does not
+    double flowShare { 0 }; // share of the flows whose owner for new flows differs, 0 to 1
+};
+
+// Compares two configurations, service by service in the order of their names. The share is drawn from a fixed sample
+// of flows, evenly over the service's caller groups.
+std::vector<ServiceChange> planChange(
+    const std::shared_ptr<const Configuration>& before, const std::shared_ptr<const Configuration>& after);
+
+}
--- /dev/null
+++ b/src/transport/SignalWatch.cpp
@@ -0,0 +1,47 @@
+#include "transport/SignalWatch.h"
+
+#include "support/InternalError.h"
+
+#include <csignal>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+namespace chicoryferry {
+
+namespace {
+
+sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+}
+
+SignalWatch::SignalWatch()
+    : signalDescriptor(-1)
+{
+    const sigset_t signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    // NOLINTNEXTLINE(performance-no-int-to-ptr): SIG_IGN is defined by the C library as a cast integer.
+    std::signal(SIGPIPE, SIG_IGN);
+    this->signalDescriptor = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
+    internalAssert(this->signalDescriptor >= 0, "watch signals", "signalfd failed");
+}
+
+SignalWatch::~SignalWatch() { close(this->signalDescriptor); }
+
+bool SignalWatch::consume() const
+{
+    signalfd_siginfo information {};
+    bool any = false;
+    while (read(this->signalDescriptor, &information, sizeof(information)) == sizeof(information)) {
+        any = true;
+    }
+    return any;
+}
+
+}
