--- /dev/null
+++ b/test/unit/CandidatesCoverEveryOwner.cpp
@@ -0,0 +1,120 @@
+#include "TestConfigurations.h"
+#include "TestPackets.h"
+#include "coordination/PacketRouter.h"
+#include "messages.pb.h"
+#include "protocol/Envelope.h"
+#include "protocol/PacketView.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace chicoryferry;
+using namespace chicoryferry::testing;
+
+namespace {
+
+constexpr std::uint16_t flows = 2000;
+const Endpoint service { 0x0a010001, 80 };
+
+struct Routed {
+    std::vector<std::uint32_t> ports; // of the candidates, in order
+};
+
+Routed routeFlow(PacketRouter& router, std::uint16_t port)
+{
+    const auto bytes = makePacket({ 0x0a090101, port }, service, acknowledge);
+    wire::EnvelopeHeader header;
+    const auto routed = router.route(std::get<PacketView>(parsePacket(bytes)), header);
+    REQUIRE(std::holds_alternative<Endpoint>(routed));
+    Routed result;
+    for (const wire::Candidate& candidate : header.candidates()) {
+        result.ports.push_back(candidate.port());
+    }
+    CHECK(std::get<Endpoint>(routed).port == result.ports.front());
+    return result;
+}
+
+bool contains(const Routed& routed, std::uint32_t port)
+{
+    return std::find(routed.ports.begin(), routed.ports.end(), port) != routed.ports.end();
+}
+
+std::vector<Host> makeHosts(unsigned first, unsigned last)
+{
+    std::vector<Host> hosts;
+    for (unsigned number = first; number <= last; ++number) {
+        hosts.push_back(makeHost("job", number));
+    }
+    return hosts;
+}
+
+}
+
+// Guards P1: two balancers with the same configuration that disagree would split a flow.
+TEST_CASE("every process with the same view chooses the same candidates")
+{
+    const auto view = makeView(makeConfiguration(1, makeHosts(1, 7)));
+    PacketRouter first(view);
+    PacketRouter second(view);
+    for (std::uint16_t port = 1; port < flows; ++port) {
+        CHECK(routeFlow(first, port).ports == routeFlow(second, port).ports);
+    }
+}
+
+// Guards P1 and P6: a draining host must keep its flows and get no new ones.
+TEST_CASE("a draining host is never first, and stays a candidate")
+{
+    auto hosts = makeHosts(1, 3);
+    hosts[0].state = HostState::Draining;
+    PacketRouter router(makeView(makeConfiguration(2, hosts)));
+    for (std::uint16_t port = 1; port < flows; ++port) {
+        const Routed routed = routeFlow(router, port);
+        CHECK(routed.ports.front() != 7001);
+        CHECK(contains(routed, 7001));
+    }
+}
+
+// Guards P1: flows of an owner that new hosts outrank, with far more hosts than an envelope carries.
+TEST_CASE("the owner under an earlier version stays a candidate after the service has grown")
+{
+    const auto before = makeConfiguration(1, makeHosts(1, 7));
+    const auto after = makeConfiguration(2, makeHosts(1, 60));
+    PacketRouter oldRouter(makeView(before));
+    PacketRouter newRouter(makeView(after, { before }));
+    for (std::uint16_t port = 1; port < flows; ++port) {
+        const Routed routed = routeFlow(newRouter, port);
+        CHECK(routed.ports.size() <= static_cast<std::size_t>(maximumCandidates));
+        CHECK(contains(routed, routeFlow(oldRouter, port).ports.front()));
+    }
+}
+
+// Guards P1: a host that was dropped from the document while it still holds flows.
+TEST_CASE("an owner that left the document stays a candidate within the retention")
+{
+    const auto before = makeConfiguration(1, makeHosts(1, 3));
+    const auto after = makeConfiguration(2, makeHosts(2, 3));
+    PacketRouter oldRouter(makeView(before));
+    PacketRouter newRouter(makeView(after, { before }));
+    for (std::uint16_t port = 1; port < flows; ++port) {
+        CHECK(contains(routeFlow(newRouter, port), routeFlow(oldRouter, port).ports.front()));
+    }
+}
+
+// Guards P2: packets for no service or from no caller group are not forwarded.
+TEST_CASE("a packet that no binding covers is refused by reason")
+{
+    auto configuration = makeConfiguration(1, makeHosts(1, 2));
+    PacketRouter router(makeView(configuration));
+    wire::EnvelopeHeader header;
+    const auto faultFor = [&](const Endpoint& source, const Endpoint& destination) {
+        const auto bytes = makePacket(source, destination, synchronize);
+        return std::get<RoutingFault>(router.route(std::get<PacketView>(parsePacket(bytes)), header));
+    };
+    CHECK(faultFor({ 0x0a090101, 1 }, { 0x0a010002, 80 }) == RoutingFault::NoService);
+    CHECK(faultFor({ 0x0a090101, 1 }, { 0x0a010001, 81 }) == RoutingFault::NoService);
+    CHECK(faultFor({ 0x0b090101, 1 }, service) == RoutingFault::NoGroup);
+    PacketRouter empty(makeView(makeConfiguration(2, {})));
+    const auto bytes = makePacket({ 0x0a090101, 1 }, service, synchronize);
+    CHECK(
+        std::get<RoutingFault>(empty.route(std::get<PacketView>(parsePacket(bytes)), header)) == RoutingFault::NoHost);
+}
