--- /dev/null
+++ b/src/state/DocumentTransfer.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace chicoryferry {
+
+// A document on its way between processes; the wire form is wire::Document.
+struct DocumentTransfer {
+    std::uint64_t version { 0 };
+    std::string content; // JSON: the whole document, or an RFC 6902 patch against baseVersion
+    std::uint64_t baseVersion { 0 }; // 0: content is the whole document
+    std::uint64_t contentHash { 0 }; // documentHash() of the whole resulting document
+};
+
+}
--- /dev/null
+++ b/src/transport/PlatformClient.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "protocol/DocumentKind.h"
+#include "protocol/Endpoint.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace chicoryferry {
+
+// Reads and watches the platform's documents over HTTP. Blocking; one object a thread.
+class PlatformClient {
+public:
+    explicit PlatformClient(const Endpoint& platform);
+    ~PlatformClient();
+    PlatformClient(const PlatformClient&) = delete;
+    PlatformClient& operator=(const PlatformClient&) = delete;
+
+    // Returns the document when its version is above `after`, or nothing when none appeared within the wait. Blocks
+    // for the wait and answerTimeout at most. Throws UserError with the step and the platform's address when the
+    // platform cannot be reached, answers late, with another status, or with a document above the size limit.
+    std::optional<std::string> read(DocumentKind, std::uint64_t after, std::chrono::seconds wait) const;
+
+    // The time that an answer may take beyond the wait that was asked for.
+    static constexpr std::chrono::milliseconds answerTimeout { 1000 };
+
+private:
+    Endpoint platform;
+};
+
+}
