--- /dev/null
+++ b/src/coordination/OfferBook.cpp
@@ -0,0 +1,145 @@
+#include "coordination/OfferBook.h"
+
+#include "support/InternalError.h"
+
+#include <algorithm>
+
+namespace chicoryferry {
+
+namespace {
+
+using Queue = std::set<std::pair<OfferBook::TimePoint, std::uint64_t>>;
+
+void appendFront(std::vector<std::uint64_t>& requests, const Queue& queue, std::size_t limit)
+{
+    for (auto entry = queue.begin(); entry != queue.end() && limit > 0; ++entry, --limit) {
+        requests.push_back(entry->second);
+    }
+}
+
+void appendBefore(std::vector<std::uint64_t>& requests, const Queue& queue, OfferBook::TimePoint limit)
+{
+    for (auto entry = queue.begin(); entry != queue.end() && entry->first < limit; ++entry) {
+        requests.push_back(entry->second);
+    }
+}
+
+}
+
+OfferBook::Urgency OfferBook::urgencyOf(const HeldRequest& held)
+{
+    return { held.deadline - held.expectedRun, held.description.request };
+}
+
+std::set<OfferBook::Urgency>& OfferBook::queueOf(const HeldRequest& held)
+{
+    return held.longRunning ? this->waitingLong : this->waitingShort;
+}
+
+void OfferBook::add(HeldRequest held)
+{
+    const std::uint64_t request = held.description.request;
+    internalAssert(!this->requests.contains(request), "offer", "request number used twice");
+    held.state = HeldRequest::State::Waiting;
+    this->queueOf(held).insert(urgencyOf(held));
+    this->requests.emplace(request, std::move(held));
+}
+
+HeldRequest* OfferBook::find(std::uint64_t request)
+{
+    const auto found = this->requests.find(request);
+    return found == this->requests.end() ? nullptr : &found->second;
+}
+
+bool OfferBook::grant(TimePoint now, std::uint64_t request, const PeerIdentity& claimer, std::uint64_t claim)
+{
+    HeldRequest* held = this->find(request);
+    if (held == nullptr || held->state != HeldRequest::State::Waiting) {
+        return false;
+    }
+    this->queueOf(*held).erase(urgencyOf(*held));
+    held->state = HeldRequest::State::Granted;
+    held->claimer = claimer;
+    held->claim = claim;
+    held->granted = now;
+    this->grantedByDeadline.insert({ held->deadline, request });
+    return true;
+}
+
+bool OfferBook::takeBack(std::uint64_t request, const PeerIdentity& claimer, std::uint64_t claim)
+{
+    if (!this->isGranted(request, claimer, claim)) {
+        return false;
+    }
+    HeldRequest& held = this->requests.at(request);
+    this->grantedByDeadline.erase({ held.deadline, request });
+    held.state = HeldRequest::State::Waiting;
+    ++held.attempt;
+    this->queueOf(held).insert(urgencyOf(held));
+    return true;
+}
+
+bool OfferBook::isGranted(std::uint64_t request, const PeerIdentity& claimer, std::uint64_t claim) const
+{
+    const auto found = this->requests.find(request);
+    if (found == this->requests.end()) {
+        return false;
+    }
+    const HeldRequest& held = found->second;
+    return held.state == HeldRequest::State::Granted && held.claimer == claimer && held.claim == claim;
+}
+
+void OfferBook::remove(std::uint64_t request)
+{
+    const auto found = this->requests.find(request);
+    if (found == this->requests.end()) {
+        return;
+    }
+    this->queueOf(found->second).erase(urgencyOf(found->second));
+    this->grantedByDeadline.erase({ found->second.deadline, request });
+    this->requests.erase(found);
+}
+
+void OfferBook::answerStarted(std::uint64_t request)
+{
+    if (HeldRequest* held = this->find(request)) {
+        held->answerStarted = true;
+        this->grantedByDeadline.erase({ held->deadline, request });
+    }
+}
+
+std::vector<std::uint64_t> OfferBook::mostUrgent(std::size_t limit) const
+{
+    std::vector<std::uint64_t> urgent;
+    appendFront(urgent, this->waitingShort, limit);
+    appendFront(urgent, this->waitingLong, limit);
+    return urgent;
+}
+
+std::vector<std::uint64_t> OfferBook::hopeless(TimePoint now) const
+{
+    std::vector<std::uint64_t> found;
+    appendBefore(found, this->waitingShort, now);
+    appendBefore(found, this->waitingLong, now);
+    return found;
+}
+
+std::vector<std::uint64_t> OfferBook::overdue(TimePoint now) const
+{
+    std::vector<std::uint64_t> found;
+    appendBefore(found, this->grantedByDeadline, now);
+    return found;
+}
+
+OfferBook::TimePoint OfferBook::nextDeadline() const
+{
+    TimePoint next = TimePoint::max();
+    for (const Queue* queue : { &this->waitingShort, &this->waitingLong, &this->grantedByDeadline }) {
+        if (!queue->empty()) {
+            next = std::min(next, queue->begin()->first + std::chrono::microseconds(1));
+        }
+    }
+    return next;
+}
+
+}
--- a/src/coordination/PeerIdentity.h
+++ b/src/coordination/PeerIdentity.h
@@ -11,7 +11,7 @@
     std::string instance;
     std::uint64_t incarnation { 0 };
 
-    auto operator<=>(const PeerIdentity&) const = default;
+    auto operator<=>(const PeerIdentity&) const = default; // NOLINT(modernize-use-nullptr): false positive
 };
 
 }
--- a/src/coordination/RequestPlacement.h
+++ b/src/coordination/RequestPlacement.h
@@ -17,6 +17,15 @@
 // Decides where and when each request runs: the holder's side (queue, offers, grants, retries, idempotency keys) and
 // the host's side (slots, claims). No input, output, clock or thread; every call takes the time and returns actions
 // in the order in which they are to be carried out.
+//
+// Rules between this class and its caller:
+// - Claim, ClaimRejected, GrantExpired, NotRun, Cancel and the Key messages are sent by this class as SendToPeer. A
+// Grant
+//   is sent by the caller on GrantToPeer, and a received one is passed to messageReceived().
+// - CancelRun ends the attempt here; a later runEnded() or peerRunEnded() for it is ignored.
+// - RefuseRequest ends a request. After answerStarted() it means that the answer is cut off.
+// - ShareAnswer comes when the leader is granted. A leader whose caller is gone is still run while others share its
+//   answer; it ends with runEnded().
 class RequestPlacement {
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
@@ -34,7 +43,7 @@
     PlacementActions requestArrived(TimePoint, const RequestDescription&);
     // The first byte of the answer went to the caller: from here on the request cannot be repeated.
     PlacementActions answerStarted(TimePoint, std::uint64_t request);
-    // The granted attempt ended.
+    // The granted attempt ended, here or at a peer. NotRun from a peer comes as a message, not through this call.
     PlacementActions runEnded(TimePoint, std::uint64_t request, std::uint64_t claim, const RunResult&);
     // The caller's connection is gone.
     PlacementActions callerGone(TimePoint, std::uint64_t request);
--- /dev/null
+++ b/test/unit/RequestsArePlacedOnFreeSlots.cpp
@@ -0,0 +1,56 @@
+#include "PlacementFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace chicoryferry;
+using std::chrono::milliseconds;
+
+// Guards against a holder that queues behind its own busy slot while a peer is free.
+TEST_CASE("a request that finds the own slots busy runs beside a free peer, once")
+{
+    PlacementFixture fleet(3, 1);
+    fleet.settle();
+    fleet.arrive("host-0", 1);
+    fleet.arrive("host-0", 2);
+    fleet.arrive("host-0", 3);
+    fleet.settle();
+    CHECK(fleet.runs().size() == 3);
+    CHECK(fleet.runsOn("host-0") == 1);
+    CHECK(fleet.runsOn("host-1") == 1);
+    CHECK(fleet.runsOn("host-2") == 1);
+    fleet.arrive("host-0", 4);
+    fleet.settle();
+    CHECK(fleet.runs().size() == 3);
+    fleet.endRun(1, RunOutcome::Completed);
+    fleet.settle();
+    CHECK(fleet.runs().size() == 4);
+}
+
+// Guards against new work on a host that is about to stop, and against losing the requests it holds.
+TEST_CASE("a draining host claims nothing and places its requests on peers")
+{
+    PlacementFixture fleet(2, 2);
+    fleet.settle();
+    fleet.startDraining("host-0");
+    fleet.settle();
+    fleet.arrive("host-0", 1);
+    fleet.arrive("host-1", 2);
+    fleet.settle();
+    CHECK(fleet.runsOn("host-0") == 0);
+    CHECK(fleet.runsOn("host-1") == 2);
+}
+
+// Guards against work that a paused process starts on outdated knowledge.
+TEST_CASE("a grant that arrives later than its validity is not run and goes back to the holder")
+{
+    PlacementFixture fleet(2, 1);
+    fleet.settle();
+    fleet.arrive("host-0", 1);
+    fleet.arrive("host-0", 2);
+    fleet.deliverUntil(wire::PeerMessage::kGrant);
+    fleet.advance(milliseconds(300));
+    fleet.settle();
+    CHECK(fleet.countSent(wire::PeerMessage::kGrantExpired) == 1);
+    CHECK(fleet.runs().size() == 2);
+    CHECK(fleet.refusals().empty());
+}
