--- /dev/null
+++ b/src/transport/TcpEvent.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "protocol/Endpoint.h"
+
+#include <cstdint>
+#include <variant>
+
+namespace chicoryferry {
+
+// What a TcpStack tells its user about a connection. Identifiers are never reused within a stack.
+
+// A listener has a new established connection.
+struct TcpAccepted {
+    std::uint64_t connection { 0 };
+    Endpoint local;
+    Endpoint remote;
+};
+
+// An attempt of TcpStack::connect() succeeded.
+struct TcpConnected {
+    std::uint64_t connection { 0 };
+};
+
+// Bytes arrived; see TcpStack::readable().
+struct TcpReadable {
+    std::uint64_t connection { 0 };
+};
+
+// The peer acknowledged bytes, so that TcpStack::write() takes more.
+struct TcpWritable {
+    std::uint64_t connection { 0 };
+};
+
+// The peer sends no further bytes. What it sent before can still be read, and writing still works.
+struct TcpPeerClosed {
+    std::uint64_t connection { 0 };
+};
+
+// The connection is gone: reset by the peer, timed out, or never established. The identifier is no longer valid.
+struct TcpEnded {
+    std::uint64_t connection { 0 };
+};
+
+using TcpEvent = std::variant<TcpAccepted, TcpConnected, TcpReadable, TcpWritable, TcpPeerClosed, TcpEnded>;
+
+}
