Add the network and backend stand-ins

The network stand-in is the fabric and the client entry in one process; the backend stand-in is an HTTP/1.1 server with slots whose answers name service, target and request body.

--- a/test/standins/StandinsMain.cpp
+++ b/test/standins/StandinsMain.cpp
@@ -1,1 +1,40 @@
-int main() { return 0; }
+#include "BackendStandin.h"
+#include "NetworkStandin.h"
+
+#include <exception>
+#include <fmt/format.h>
+#include <string>
+#include <vector>
+
+namespace {
+
+constexpr int usageStatus = 2;
+
+struct Standin {
+    const char* name;
+    int (*run)(const std::vector<std::string>& arguments);
+};
+
+constexpr Standin standins[] = {
+    { "backend", chicoryferry::standins::runBackendStandin },
+    { "network", chicoryferry::standins::runNetworkStandin },
+};
+
+}
+
+int main(int argc, char** argv)
+{
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    try {
+        for (const Standin& standin : standins) {
+            if (!arguments.empty() && arguments.front() == standin.name) {
+                return standin.run({ arguments.begin() + 1, arguments.end() });
+            }
+        }
+    } catch (const std::exception& error) {
+        fmt::print(stderr, "chicoryferry_standins: {}\n", error.what());
+        return usageStatus;
+    }
+    fmt::print(stderr, "chicoryferry_standins: the first argument names a stand-in\n");
+    return usageStatus;
+}
