--- a/test/standins/BackendServer.cpp
+++ b/test/standins/BackendServer.cpp
@@ -1,7 +1,7 @@
 #include "BackendServer.h"
 
 #include "Sockets.h"
-#include "app/Settings.h"
+#include "support/Duration.h"
 
 #include <algorithm>
 #include <sys/epoll.h>
--- a/test/standins/StandinsMain.cpp
+++ b/test/standins/StandinsMain.cpp
@@ -1,5 +1,6 @@
 #include "BackendStandin.h"
 #include "NetworkStandin.h"
+#include "PlatformStandin.h"
 
 #include <exception>
 #include <fmt/format.h>
@@ -18,6 +19,7 @@
 constexpr Standin standins[] = {
     { "backend", chicoryferry::standins::runBackendStandin },
     { "network", chicoryferry::standins::runNetworkStandin },
+    { "platform", chicoryferry::runPlatformStandin },
 };
 
 }
