--- a/test/standins/StandinsMain.cpp
+++ b/test/standins/StandinsMain.cpp
@@ -1,3 +1,5 @@
+#include "BackendStandin.h"
+#include "NetworkStandin.h"
 #include "PlatformStandin.h"
 
 #include <exception>
@@ -15,6 +17,8 @@
 };
 
 constexpr Standin standins[] = {
+    { "backend", chicoryferry::standins::runBackendStandin },
+    { "network", chicoryferry::standins::runNetworkStandin },
     { "platform", chicoryferry::runPlatformStandin },
 };
 
