--- /dev/null
+++ b/src/coordination/FlowAdmission.cpp
@@ -0,0 +1,226 @@
+#include "coordination/FlowAdmission.h"
+
+#include "messages.pb.h"
+#include "protocol/PacketView.h"
+#include "state/ConfigurationView.h"
+#include "state/FlowTable.h"
+
+#include <algorithm>
+
+namespace chicoryferry {
+
+namespace {
+
+FlowKey keyOf(const PacketView& packet) { return { packet.source, packet.destination }; }
+
+Endpoint addressOf(const wire::Candidate& candidate)
+{
+    return { candidate.address(), static_cast<std::uint16_t>(candidate.port()) };
+}
+
+bool sameCandidate(const wire::Candidate& left, const wire::Candidate& right)
+{
+    return addressOf(left) == addressOf(right) && left.incarnation() == right.incarnation();
+}
+
+bool contains(const wire::EnvelopeHeader& header, const wire::Candidate& candidate)
+{
+    return std::any_of(header.candidates().begin(), header.candidates().end(),
+        [&](const wire::Candidate& each) { return sameCandidate(each, candidate); });
+}
+
+// A handshake that another host completes shows up here as an acknowledgement of a number that was not sent.
+bool belongsElsewhere(const Flow& flow, const PacketView& packet)
+{
+    if (flow.state != FlowState::HalfOpen || packet.isFirst()) {
+        return false;
+    }
+    return !packet.acknowledge || packet.acknowledgementNumber != flow.handshakeAcknowledgement;
+}
+
+}
+
+std::string_view admissionDropName(AdmissionDrop reason)
+{
+    switch (reason) {
+    case AdmissionDrop::UnknownPeer:
+        return "unknown_peer";
+    case AdmissionDrop::WrongIncarnation:
+        return "wrong_incarnation";
+    case AdmissionDrop::WrongService:
+        return "wrong_service";
+    case AdmissionDrop::NotSelected:
+        return "not_selected";
+    case AdmissionDrop::FlowUnknown:
+        return "flow_unknown";
+    }
+    return "unknown";
+}
+
+std::string_view admissionRefusalName(AdmissionRefusal reason)
+{
+    switch (reason) {
+    case AdmissionRefusal::RefusedDraining:
+        return "refused_draining";
+    case AdmissionRefusal::RefusedFull:
+        return "refused_full";
+    case AdmissionRefusal::RefusedNotSelected:
+        return "refused_not_selected";
+    case AdmissionRefusal::FlowUnknown:
+        return "flow_unknown";
+    }
+    return "unknown";
+}
+
+FlowAdmission::FlowAdmission(std::string ownInstance, std::uint64_t ownIncarnation, const FlowTable& table)
+    : instance(std::move(ownInstance))
+    , incarnation(ownIncarnation)
+    , flows(table)
+{
+}
+
+void FlowAdmission::viewChanged(std::shared_ptr<const ConfigurationView> newView)
+{
+    this->view = std::move(newView);
+    this->router = std::make_unique<PacketRouter>(this->view);
+}
+
+const Host* FlowAdmission::ownHost() const
+{
+    if (!this->view) {
+        return nullptr;
+    }
+    const Host* host = this->view->hostByName(this->instance);
+    return host != nullptr && host->incarnation == this->incarnation ? host : nullptr;
+}
+
+bool FlowAdmission::isDraining() const
+{
+    const Host* host = this->ownHost();
+    return this->draining || (host != nullptr && this->view->isDraining(*host));
+}
+
+bool FlowAdmission::serves(const Service& service, const Endpoint& caller) const
+{
+    const Host* own = this->ownHost();
+    const CallerGroup* group = this->view->callerGroupOf(caller.address);
+    if (own == nullptr || group == nullptr) {
+        return false;
+    }
+    const std::vector<std::uint32_t>& hosts = this->view->hostsFor(service, *group).hosts;
+    return std::any_of(hosts.begin(), hosts.end(),
+        [&](std::uint32_t index) { return &this->view->configuration().hosts[index] == own; });
+}
+
+std::uint64_t FlowAdmission::ownVersion() const { return this->view->configuration().version; }
+
+AdmissionDecision FlowAdmission::decide(TimePoint now, const Endpoint& source, wire::EnvelopeHeader& header,
+    const PacketView& packet, std::chrono::milliseconds confirmationAge)
+{
+    if (!this->view || !this->view->isPeerDataAddress(source)) {
+        return DropPacket { AdmissionDrop::UnknownPeer };
+    }
+    if (header.candidates(static_cast<int>(header.current())).incarnation() != this->incarnation) {
+        return DropPacket { AdmissionDrop::WrongIncarnation };
+    }
+    const Service* service = this->view->serviceById(header.service_id());
+    if (service == nullptr || service->endpoint != packet.destination) {
+        return DropPacket { AdmissionDrop::WrongService };
+    }
+    const Flow* flow = this->flows.find(keyOf(packet));
+    if (flow != nullptr && !belongsElsewhere(*flow, packet)) {
+        return DeliverPacket {};
+    }
+    if (packet.isFirst()) {
+        return this->decideFirst(*service, header, packet);
+    }
+    AdmissionDecision decision = this->decideLater(now, header, packet, confirmationAge);
+    if (flow != nullptr) {
+        if (auto* pass = std::get_if<PassPacketOn>(&decision)) {
+            pass->removeHalfOpen = true;
+        } else {
+            // The flow was half-open here until now, so it has not been unknown for long.
+            decision = DropPacket { AdmissionDrop::FlowUnknown, true };
+        }
+    }
+    return decision;
+}
+
+AdmissionDecision FlowAdmission::decideFirst(
+    const Service& service, wire::EnvelopeHeader& header, const PacketView& packet)
+{
+    const bool selected = this->serves(service, packet.source);
+    const bool leaving = this->isDraining();
+    if (selected && !leaving && this->flows.liveCount() < this->ownHost()->connections) {
+        this->unknownFlows.forget(keyOf(packet));
+        return AdmitFlow { service.id };
+    }
+    const std::uint64_t senderVersion = header.configuration_version();
+    if (const auto next = this->advance(header, packet)) {
+        return PassPacketOn { *next };
+    }
+    if (leaving) {
+        return ResetFlow { AdmissionRefusal::RefusedDraining };
+    }
+    if (selected) {
+        return ResetFlow { AdmissionRefusal::RefusedFull };
+    }
+    // The newer configuration that selects this host is on its way; the caller repeats its first packet until then.
+    if (senderVersion > this->ownVersion()) {
+        return DropPacket { AdmissionDrop::NotSelected };
+    }
+    return ResetFlow { AdmissionRefusal::RefusedNotSelected };
+}
+
+AdmissionDecision FlowAdmission::decideLater(
+    TimePoint now, wire::EnvelopeHeader& header, const PacketView& packet, std::chrono::milliseconds confirmationAge)
+{
+    const std::uint64_t senderVersion = header.configuration_version();
+    if (const auto next = this->advance(header, packet)) {
+        return PassPacketOn { *next };
+    }
+    const std::chrono::milliseconds unknownFor = this->unknownFlows.record(now, keyOf(packet));
+    const bool current = confirmationAge <= freshConfiguration && senderVersion <= this->ownVersion();
+    if (!current || unknownFor < resetDelay || packet.reset) {
+        return DropPacket { AdmissionDrop::FlowUnknown };
+    }
+    this->unknownFlows.forget(keyOf(packet));
+    return ResetFlow { AdmissionRefusal::FlowUnknown };
+}
+
+std::optional<Endpoint> FlowAdmission::advance(wire::EnvelopeHeader& header, const PacketView& packet)
+{
+    const std::uint32_t next = header.current() + 1;
+    if (next < static_cast<std::uint32_t>(header.candidates_size())) {
+        header.set_current(next);
+        return addressOf(header.candidates(static_cast<int>(next)));
+    }
+    if (this->ownVersion() > header.configuration_version()) {
+        return this->rankAgain(header, packet);
+    }
+    return std::nullopt;
+}
+
+// Versions rise with each new ranking, so a packet cannot circle.
+std::optional<Endpoint> FlowAdmission::rankAgain(wire::EnvelopeHeader& header, const PacketView& packet)
+{
+    wire::EnvelopeHeader ranked;
+    if (std::holds_alternative<RoutingFault>(this->router->route(packet, ranked))) {
+        return std::nullopt;
+    }
+    wire::EnvelopeHeader remaining = ranked;
+    remaining.clear_candidates();
+    for (const wire::Candidate& candidate : ranked.candidates()) {
+        if (!contains(header, candidate)) {
+            *remaining.add_candidates() = candidate;
+        }
+    }
+    if (remaining.candidates_size() == 0) {
+        return std::nullopt;
+    }
+    remaining.set_current(0);
+    header = remaining;
+    return addressOf(header.candidates(0));
+}
+
+}
--- a/src/transport/TcpStack.cpp
+++ b/src/transport/TcpStack.cpp
@@ -101,7 +101,7 @@
 
 bool isFirstPacket(std::span<const std::uint8_t> packet)
 {
-    const std::size_t flagsIndex = (packet[0] & 0x0FU) * 4U + tcpFlagsOffset;
+    const std::size_t flagsIndex = std::size_t { 4 } * (packet[0] & 0x0FU) + tcpFlagsOffset;
     return flagsIndex < packet.size() && (packet[flagsIndex] & TCP_SYN) != 0;
 }
 
