--- /dev/null
+++ b/test/fuzz/FuzzTarget.h
@@ -0,0 +1,7 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+// The entry point that libFuzzer and CorpusMain.cpp call. Returns 0; a fault shows as a crash or a sanitizer report.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size);
