--- /dev/null
+++ b/test/unit/BackendFailureAfterSendIsUnknown.cpp
@@ -0,0 +1,46 @@
+#include "BackendHarness.h"
+
+#include <doctest/doctest.h>
+
+using namespace chicoryferry;
+
+namespace {
+
+RunResult runAgainst(const ScriptedBackend::Script& script)
+{
+    EventLoop loop;
+    ScriptedBackend backend(loop, script);
+    BackendHarness harness(loop, backend.endpoint(), std::chrono::milliseconds(300));
+    harness.start(makeGet("/layout/1"));
+    REQUIRE(harness.runToEnd());
+    return *harness.result;
+}
+
+}
+
+// Guards P4: a request whose bytes were sent may have run and must not be reported as not run.
+TEST_CASE("a connection that ends without an answer after the request was sent is unknown")
+{
+    const RunResult closed = runAgainst([](ScriptedBackend::Connection& connection) { connection.close(); });
+    CHECK(closed.outcome == RunOutcome::Unknown);
+    const RunResult reset = runAgainst([](ScriptedBackend::Connection& connection) { connection.reset(); });
+    CHECK(reset.outcome == RunOutcome::Unknown);
+}
+
+// Guards P9: a backend server that never answers must not hold its slot for good.
+TEST_CASE("a backend server that stays silent ends the run as unknown")
+{
+    const RunResult silent = runAgainst([](ScriptedBackend::Connection&) {});
+    CHECK(silent.outcome == RunOutcome::Unknown);
+    CHECK(silent.reason == "backend_silence");
+}
+
+// Guards P3: ambiguous framing must not end in a complete answer.
+TEST_CASE("an answer with ambiguous framing is unknown")
+{
+    const RunResult bad = runAgainst([](ScriptedBackend::Connection& connection) {
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc");
+    });
+    CHECK(bad.outcome == RunOutcome::Unknown);
+    CHECK(bad.reason == "bad_answer");
+}
--- /dev/null
+++ b/test/unit/BackendHarness.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "ScriptedBackend.h"
+#include "transport/BackendClient.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace chicoryferry {
+
+// A backend client that records what it reports of one run.
+class BackendHarness {
+public:
+    explicit BackendHarness(EventLoop&, const Endpoint& server, std::chrono::milliseconds silence);
+
+    std::uint64_t start(const HttpRequestHead&, std::size_t credit = 256UL * 1024);
+
+    // Runs until the run has ended; returns whether it has.
+    bool runToEnd(std::chrono::milliseconds limit = std::chrono::seconds(20));
+
+    EventLoop& eventLoop;
+    std::optional<HttpAnswerHead> head;
+    std::string body;
+    std::size_t bodyTaken { 0 };
+    std::optional<RunResult> result;
+    BackendClient client;
+
+private:
+    void record(BackendEvent);
+};
+
+// A request without a body.
+HttpRequestHead makeGet(const std::string& target);
+
+}
