--- a/src/app/RunBalancer.cpp
+++ b/src/app/RunBalancer.cpp
@@ -1,9 +1,14 @@
+#include "app/BalancerProcess.h"
 #include "app/Commands.h"
-
-#include "support/UserError.h"
+#include "app/Settings.h"
 
 namespace chicoryferry {
 
-int runBalancer(const std::vector<std::string>&) { throw UserError("run command", "", "not available yet"); }
+int runBalancer(const std::vector<std::string>& arguments)
+{
+    BalancerProcess process(parseSettings("balancer", arguments));
+    process.run();
+    return 0;
+}
 
 }
