--- /dev/null
+++ b/src/app/HttpEdge.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "app/EdgeBroker.h"
+#include "app/EdgeConnection.h"
+#include "app/EdgeEvent.h"
+#include "protocol/HttpFault.h"
+#include "transport/TcpEvent.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace chicoryferry {
+
+class Metrics;
+class TcpStack;
+
+// Speaks HTTP/1.1 with callers: takes requests from their connections one at a time, and writes the answers in order.
+class HttpEdge {
+public:
+    using TimePoint = std::chrono::steady_clock::time_point;
+
+    // The stack and metrics must outlive this object.
+    HttpEdge(TcpStack&, Metrics&, EdgeBroker);
+
+    // A caller's connection to the service is established.
+    void opened(TimePoint, std::uint64_t connection, const std::string& service, const Endpoint& caller);
+
+    // Events of connections that were opened.
+    void connectionEvent(TimePoint, const TcpEvent&);
+
+    // Events of requests that were submitted.
+    void brokerEvent(TimePoint, EdgeEvent);
+
+    // Handles timeouts; called at least every second.
+    void tick(TimePoint);
+
+    // From now on connections end: idle ones at once, the others with their next answer. With keepIdle, connections
+    // stay open for handover.
+    void startDraining(TimePoint, bool keepIdle);
+
+    // Connections on which nothing is in progress or on its way in either direction.
+    std::vector<std::uint64_t> idleConnections() const;
+
+    // Forgets a connection that was handed over, without touching it.
+    void release(std::uint64_t connection);
+
+    // Ends a connection that cannot be handed over, when it is idle or with its next answer.
+    void endWhenIdle(TimePoint, std::uint64_t connection);
+
+    std::size_t connectionCount() const { return this->connections.size(); }
+
+private:
+    // Runs the function and then what it caused: broker events, and the removal of ended connections.
+    void process(TimePoint, const std::function<void()>&);
+    EdgeConnection* find(std::uint64_t connection);
+    EdgeConnection* findByRequest(std::uint64_t request);
+
+    void pump(TimePoint, EdgeConnection&);
+    bool readHead(TimePoint, EdgeConnection&);
+    bool readBody(TimePoint, EdgeConnection&);
+    void submit(TimePoint, EdgeConnection&);
+    void forwardBody(TimePoint, EdgeConnection&);
+    void refuse(TimePoint, EdgeConnection&, const HttpFault&, bool submitted);
+
+    void handle(TimePoint, const BodyCredit&);
+    void handle(TimePoint, const AnswerStart&);
+    void handle(TimePoint, const AnswerData&);
+    void handle(TimePoint, const AnswerFinish&);
+
+    void write(TimePoint, EdgeConnection&, std::string text, std::size_t bodyBytes);
+    void flush(TimePoint, EdgeConnection&);
+    void finishAnswer(TimePoint, EdgeConnection&);
+    bool isIdle(const EdgeConnection&) const;
+    void peerClosed(TimePoint, EdgeConnection&);
+    void checkTimeouts(TimePoint, EdgeConnection&);
+    void cancelRequest(TimePoint, EdgeConnection&);
+    void close(EdgeConnection&);
+    void reset(TimePoint, EdgeConnection&, const std::string& reason);
+    void end(EdgeConnection&);
+
+    TcpStack& stack;
+    Metrics& metrics;
+    EdgeBroker broker;
+    std::unordered_map<std::uint64_t, std::unique_ptr<EdgeConnection>> connections;
+    std::unordered_map<std::uint64_t, std::uint64_t> connectionByRequest;
+    std::deque<EdgeEvent> queuedEvents;
+    std::vector<std::uint64_t> endedConnections;
+    bool processing { false };
+    bool draining { false };
+    bool keepIdleConnections { false };
+};
+
+}
--- a/src/app/RunAgent.cpp
+++ b/src/app/RunAgent.cpp
@@ -1,9 +1,14 @@
 #include "app/Commands.h"
 
-#include "support/UserError.h"
+#include "app/AgentProcess.h"
 
 namespace chicoryferry {
 
-int runAgent(const std::vector<std::string>&) { throw UserError("run command", "", "not available yet"); }
+int runAgent(const std::vector<std::string>& arguments)
+{
+    AgentProcess process(parseSettings("agent", arguments));
+    process.run();
+    return 0;
+}
 
 }
