Test own runs, granted runs and refusals of the broker

The backend client now dates progress by the latest time its caller gave, so that tests can advance time.

--- a/src/app/RequestBroker.cpp
+++ b/src/app/RequestBroker.cpp
@@ -174,7 +174,7 @@
     , sendMessage(std::move(messageSender))
     , placement(self, processMetrics)
     , client(loop, settings.backendServer, settings.backendSilence,
-          [this](BackendEvent event) { this->backendEvent(std::chrono::steady_clock::now(), std::move(event)); })
+          [this](TimePoint now, BackendEvent event) { this->backendEvent(now, std::move(event)); })
     , grantedRuns(client, processMetrics, sendMessage)
 {
     this->eventLoop.add(this->wakeup.descriptor(), EPOLLIN, [this](std::uint32_t) {
--- a/src/transport/BackendClient.cpp
+++ b/src/transport/BackendClient.cpp
@@ -3,6 +3,7 @@
 #include "transport/BackendConnection.h"
 #include "transport/EventLoop.h"
 
+#include <algorithm>
 #include <sys/epoll.h>
 
 namespace chicoryferry {
@@ -38,6 +39,7 @@
 std::uint64_t BackendClient::start(
     TimePoint now, const HttpRequestHead& head, std::chrono::milliseconds deadline, std::size_t answerCredit)
 {
+    this->latest = std::max(this->latest, now);
     const std::uint64_t run = this->nextRun++;
     auto connection = std::make_unique<BackendConnection>(now, run, this->backendServer, head, deadline, answerCredit);
     if (connection->descriptor() < 0) {
@@ -111,13 +113,19 @@
     }
 }
 
+// Socket events bring no time. Never earlier than the caller's, so that progress is not dated before a check.
+BackendClient::TimePoint BackendClient::currentTime()
+{
+    return std::max(this->latest, std::chrono::steady_clock::now());
+}
+
 void BackendClient::advance(std::uint64_t run)
 {
     const auto found = this->connections.find(run);
     if (found == this->connections.end()) {
         return;
     }
-    std::vector<BackendEvent> events = found->second->advance(std::chrono::steady_clock::now(), this->buffer);
+    std::vector<BackendEvent> events = found->second->advance(this->currentTime(), this->buffer);
     this->deliver(run, std::move(events));
 }
 
@@ -134,12 +142,13 @@
         if (std::holds_alternative<BackendRunEnd>(event)) {
             this->cancel(run);
         }
-        this->onEvent(std::move(event));
+        this->onEvent(this->currentTime(), std::move(event));
     }
 }
 
 void BackendClient::tick(TimePoint now)
 {
+    this->latest = std::max(this->latest, now);
     std::vector<std::uint64_t> runs;
     runs.reserve(this->connections.size());
     for (const auto& [run, connection] : this->connections) {
--- a/src/transport/BackendClient.h
+++ b/src/transport/BackendClient.h
@@ -24,7 +24,7 @@
 class BackendClient {
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
-    using EventHandler = std::function<void(BackendEvent)>;
+    using EventHandler = std::function<void(TimePoint, BackendEvent)>;
 
     // backendSilence: a run ends when the backend server neither takes nor sends a byte for as long. onEvent is called
     // from the event loop and from tick(), never from inside another function of this class. The event loop must
@@ -55,6 +55,7 @@
     std::size_t size() const { return this->connections.size(); }
 
 private:
+    TimePoint currentTime();
     void advance(std::uint64_t run);
     void updateInterest(std::uint64_t run);
     void deliver(std::uint64_t run, std::vector<BackendEvent>);
@@ -70,6 +71,7 @@
     std::unordered_map<std::uint64_t, std::unique_ptr<BackendConnection>> connections;
     std::unordered_map<std::uint64_t, std::uint32_t> interests; // epoll events registered for each run
     std::uint64_t nextRun { 1 };
+    TimePoint latest; // the latest time given by the caller
 };
 
 }
--- a/test/unit/BackendHarness.cpp
+++ b/test/unit/BackendHarness.cpp
@@ -4,7 +4,8 @@
 
 BackendHarness::BackendHarness(EventLoop& loop, const Endpoint& server, std::chrono::milliseconds silence)
     : eventLoop(loop)
-    , client(loop, server, silence, [this](BackendEvent event) { this->record(std::move(event)); })
+    , client(loop, server, silence,
+          [this](BackendClient::TimePoint, BackendEvent event) { this->record(std::move(event)); })
 {
 }
 
--- /dev/null
+++ b/test/unit/BrokerNetwork.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "ScriptedBackend.h"
+#include "app/RequestBroker.h"
+#include "app/Settings.h"
+#include "messages.pb.h"
+#include "support/Logger.h"
+#include "support/Metrics.h"
+#include "transport/EventLoop.h"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chicoryferry {
+
+// What a caller has received.
+struct CallerRecord {
+    std::optional<HttpAnswerHead> head;
+    std::string body;
+    std::optional<bool> complete; // set when the answer ended
+    std::size_t bodyCredit { 0 };
+
+    bool hasEnded() const { return this->complete.has_value(); }
+    // The value of a header field of the answer; empty when there is none.
+    std::string header(const std::string& name) const;
+};
+
+// Brokers with one scripted backend server each, joined in memory, on one event loop. Time can be advanced by hand.
+class BrokerNetwork {
+public:
+    struct Message {
+        std::size_t from { 0 };
+        std::size_t to { 0 };
+        wire::PeerMessage content;
+    };
+
+    struct Agent {
+        Settings settings;
+        std::unique_ptr<ScriptedBackend> backend;
+        std::unique_ptr<Metrics> metrics;
+        std::unique_ptr<Logger> logger;
+        std::unique_ptr<RequestBroker> broker;
+        std::map<std::uint64_t, CallerRecord> callers;
+        std::vector<std::pair<std::uint64_t, std::size_t>> toConsume;
+    };
+
+    // scripts: the behaviour of each agent's backend server.
+    BrokerNetwork(std::vector<ScriptedBackend::Script> scripts, unsigned slots);
+
+    // Sends a request without a body, or with the body given.
+    std::uint64_t submit(
+        std::size_t agent, const std::string& method, const std::string& target, std::string body = {});
+
+    // One round: socket events, messages, timeouts.
+    void step();
+    bool runUntilTrue(const std::function<bool()>& done, std::chrono::milliseconds limit = std::chrono::seconds(20));
+    bool runToEnd(std::size_t agent, std::uint64_t request);
+
+    CallerRecord& caller(std::size_t agent, std::uint64_t request) { return this->agents[agent].callers[request]; }
+    std::chrono::steady_clock::time_point now() const { return std::chrono::steady_clock::now() + this->skew; }
+    double drops(std::size_t agent, const std::string& reason);
+    // Puts the configuration in force, with the given incarnation of the last agent.
+    void publish(std::uint64_t lastIncarnation = 1);
+
+    EventLoop loop;
+    std::vector<Agent> agents;
+    std::deque<Message> messages;
+    // Decides on each message that is sent; returns what is queued in its place.
+    std::function<std::vector<Message>(Message)> transfer;
+    std::chrono::milliseconds skew { 0 };
+    std::chrono::milliseconds routeDeadline { 20000 };
+    bool consumeAtOnce { true };
+
+private:
+    void receive(std::size_t agent, EdgeEvent);
+    void uploadBodies(std::size_t agent);
+
+    unsigned slotCount;
+    std::uint64_t version { 0 };
+    std::map<std::pair<std::size_t, std::uint64_t>, std::string> uploads;
+};
+
+}
--- /dev/null
+++ b/test/unit/RefusalsStateTheOutcome.cpp
@@ -0,0 +1,90 @@
+#include "BrokerNetwork.h"
+#include "EchoScript.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace chicoryferry;
+
+namespace {
+
+void checkRefusal(const CallerRecord& caller, unsigned status, const std::string& outcome, const std::string& reason)
+{
+    REQUIRE(caller.head.has_value());
+    CHECK(caller.complete == true);
+    CHECK(caller.head->status == status);
+    CHECK(caller.header("Chicoryferry-Outcome") == outcome);
+    CHECK(caller.header("Chicoryferry-Reason") == reason);
+    const nlohmann::json body = nlohmann::json::parse(caller.body);
+    CHECK(body.at("outcome") == outcome);
+    CHECK(body.at("error") == reason);
+    CHECK(caller.head->contentLength == caller.body.size());
+}
+
+}
+
+// Guards P4: a caller must learn that a request cannot have been run, and why.
+TEST_CASE("a request of an unknown caller group or service is refused as not run")
+{
+    RunCounts runs;
+    BrokerNetwork network({ echoScript(runs, false) }, 1);
+    RequestBroker& broker = *network.agents[0].broker;
+    HttpRequestHead head;
+    head.method = "GET";
+    head.target = "/";
+    const std::uint64_t stranger = broker.submit(network.now(), "job", { 0x01020304, 1 }, head);
+    CHECK_FALSE(network.caller(0, stranger).hasEnded()); // no event from inside submit()
+    const std::uint64_t unknown = broker.submit(network.now(), "ordering", { 0x0a090001, 1 }, head);
+    REQUIRE(network.runToEnd(0, stranger));
+    REQUIRE(network.runToEnd(0, unknown));
+    checkRefusal(network.caller(0, stranger), 403, "not-run", "no_group");
+    checkRefusal(network.caller(0, unknown), 503, "not-run", "no_service");
+    CHECK(runs.empty());
+    CHECK(broker.requestsInFlight() == 0);
+}
+
+// Guards P4: a request that reached the backend server is never stated as not run.
+TEST_CASE("a request without an answer after it was sent is refused as unknown")
+{
+    BrokerNetwork network({ [](ScriptedBackend::Connection& connection) { connection.close(); } }, 1);
+    const std::uint64_t request = network.submit(0, "POST", "/corrections/1", "nick");
+    REQUIRE(network.runToEnd(0, request));
+    checkRefusal(network.caller(0, request), 502, "unknown", "connection_closed");
+}
+
+// Guards P3: an answer that was cut after its head must not look complete.
+TEST_CASE("an answer cut by the backend server ends as truncated")
+{
+    BrokerNetwork network({ [](ScriptedBackend::Connection& connection) {
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+        connection.close();
+    } },
+        1);
+    const std::uint64_t request = network.submit(0, "GET", "/layout/1");
+    REQUIRE(network.runToEnd(0, request));
+    CHECK(network.caller(0, request).complete == false);
+    CHECK(network.caller(0, request).body == "half");
+}
+
+// Guards P9: a caller that goes away must free the backend server's slot.
+TEST_CASE("cancelling a request closes its connection to the backend server and frees the slot")
+{
+    bool closed = false;
+    RunCounts runs;
+    const ScriptedBackend::Script echo = echoScript(runs, false);
+    BrokerNetwork network({ [&](ScriptedBackend::Connection& connection) {
+        closed = closed || connection.clientClosed;
+        if (connection.received.find("/held") == std::string::npos) {
+            echo(connection);
+        }
+    } },
+        1);
+    const std::uint64_t held = network.submit(0, "GET", "/held/1");
+    REQUIRE(network.runUntilTrue([&] { return network.agents[0].backend->accepted() == 1; }));
+    const std::uint64_t next = network.submit(0, "GET", "/layout/2");
+    network.agents[0].broker->cancel(network.now(), held);
+    REQUIRE(network.runToEnd(0, next));
+    CHECK(network.caller(0, next).complete == true);
+    CHECK(network.runUntilTrue([&] { return closed; }));
+    CHECK_FALSE(network.caller(0, held).hasEnded());
+}
