--- a/src/coordination/OfferBook.cpp
+++ b/src/coordination/OfferBook.cpp
@@ -33,18 +33,50 @@
 
 std::set<OfferBook::Urgency>& OfferBook::queueOf(const HeldRequest& held)
 {
+    if (held.state == HeldRequest::State::Pending) {
+        return this->pending;
+    }
     return held.longRunning ? this->waitingLong : this->waitingShort;
 }
 
+void OfferBook::leaveQueue(const HeldRequest& held)
+{
+    if (held.state == HeldRequest::State::Granted || held.state == HeldRequest::State::Shared) {
+        this->grantedByDeadline.erase({ held.deadline, held.description.request });
+    } else {
+        this->queueOf(held).erase(urgencyOf(held));
+    }
+}
+
 void OfferBook::add(HeldRequest held)
 {
     const std::uint64_t request = held.description.request;
     internalAssert(!this->requests.contains(request), "offer", "request number used twice");
-    held.state = HeldRequest::State::Waiting;
-    this->queueOf(held).insert(urgencyOf(held));
+    held.state = HeldRequest::State::Pending;
+    this->pending.insert(urgencyOf(held));
     this->requests.emplace(request, std::move(held));
 }
 
+void OfferBook::makeWaiting(std::uint64_t request)
+{
+    HeldRequest* held = this->find(request);
+    if (held != nullptr && held->state == HeldRequest::State::Pending) {
+        this->leaveQueue(*held);
+        held->state = HeldRequest::State::Waiting;
+        this->queueOf(*held).insert(urgencyOf(*held));
+    }
+}
+
+void OfferBook::makeShared(std::uint64_t request)
+{
+    HeldRequest* held = this->find(request);
+    if (held != nullptr && held->state == HeldRequest::State::Pending) {
+        this->leaveQueue(*held);
+        held->state = HeldRequest::State::Shared;
+        this->grantedByDeadline.insert({ held->deadline, request });
+    }
+}
+
 HeldRequest* OfferBook::find(std::uint64_t request)
 {
     const auto found = this->requests.find(request);
@@ -57,7 +89,7 @@
     if (held == nullptr || held->state != HeldRequest::State::Waiting) {
         return false;
     }
-    this->queueOf(*held).erase(urgencyOf(*held));
+    this->leaveQueue(*held);
     held->state = HeldRequest::State::Granted;
     held->claimer = claimer;
     held->claim = claim;
@@ -72,7 +104,7 @@
         return false;
     }
     HeldRequest& held = this->requests.at(request);
-    this->grantedByDeadline.erase({ held.deadline, request });
+    this->leaveQueue(held);
     held.state = HeldRequest::State::Waiting;
     ++held.attempt;
     this->queueOf(held).insert(urgencyOf(held));
@@ -95,8 +127,7 @@
     if (found == this->requests.end()) {
         return;
     }
-    this->queueOf(found->second).erase(urgencyOf(found->second));
-    this->grantedByDeadline.erase({ found->second.deadline, request });
+    this->leaveQueue(found->second);
     this->requests.erase(found);
 }
 
@@ -108,6 +139,17 @@
     }
 }
 
+std::vector<std::uint64_t> OfferBook::ungranted() const
+{
+    std::vector<std::uint64_t> found;
+    for (const auto& [request, held] : this->requests) {
+        if (held.state == HeldRequest::State::Pending || held.state == HeldRequest::State::Waiting) {
+            found.push_back(request);
+        }
+    }
+    return found;
+}
+
 std::vector<std::uint64_t> OfferBook::mostUrgent(std::size_t limit) const
 {
     std::vector<std::uint64_t> urgent;
@@ -119,6 +161,7 @@
 std::vector<std::uint64_t> OfferBook::hopeless(TimePoint now) const
 {
     std::vector<std::uint64_t> found;
+    appendBefore(found, this->pending, now);
     appendBefore(found, this->waitingShort, now);
     appendBefore(found, this->waitingLong, now);
     return found;
@@ -134,7 +177,7 @@
 OfferBook::TimePoint OfferBook::nextDeadline() const
 {
     TimePoint next = TimePoint::max();
-    for (const Queue* queue : { &this->waitingShort, &this->waitingLong, &this->grantedByDeadline }) {
+    for (const Queue* queue : { &this->pending, &this->waitingShort, &this->waitingLong, &this->grantedByDeadline }) {
         if (!queue->empty()) {
             next = std::min(next, queue->begin()->first + std::chrono::microseconds(1));
         }
--- a/src/coordination/OfferBook.h
+++ b/src/coordination/OfferBook.h
@@ -18,8 +18,10 @@
 // A request that the holder has not ended.
 struct HeldRequest {
     enum class State {
-        Waiting,
+        Pending, // not on offer: waits for its idempotency key, or for an identical request
+        Waiting, // on offer
         Granted,
+        Shared, // gets the answer of an identical request that was granted
     };
 
     RequestDescription description;
@@ -27,13 +29,15 @@
     std::chrono::steady_clock::time_point deadline;
     std::chrono::microseconds expectedRun { 0 };
     bool longRunning { false };
-    State state { State::Waiting };
+    State state { State::Pending };
+    bool countedWaiting { false }; // by the admission control
+    bool callerGone { false }; // runs on for those that share its answer
     unsigned attempt { 0 }; // grants that came to nothing
     bool answerStarted { false };
     bool unsolvedAttempt { false }; // an earlier attempt may have run
     std::set<PeerIdentity> offeredTo;
     std::set<std::string> failedOn; // instances whose backend server did not take the request
-    std::chrono::steady_clock::time_point lastOffered;
+    std::chrono::steady_clock::time_point nextOffer; // to peers
 
     // Of the grant.
     PeerIdentity claimer;
@@ -46,8 +50,15 @@
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
 
+    // Adds a request that is pending.
     void add(HeldRequest);
 
+    // Puts a pending request on offer.
+    void makeWaiting(std::uint64_t request);
+
+    // A pending request gets the answer of another one.
+    void makeShared(std::uint64_t request);
+
     HeldRequest* find(std::uint64_t request);
 
     // Grants the request to the claim when it waits; false otherwise. A request has at most one grant at any time.
@@ -65,6 +76,9 @@
 
     void remove(std::uint64_t request);
 
+    // Every request that has not been granted, by number.
+    std::vector<std::uint64_t> ungranted() const;
+
     // Waiting requests, the one with the earliest latest start first: at most `limit` short and `limit` long ones. They
     // are counted apart so that long requests, which may not use every slot, never hide the short ones.
     std::vector<std::uint64_t> mostUrgent(std::size_t limit) const;
@@ -81,10 +95,10 @@
         return found;
     }
 
-    // Waiting requests whose expected completion at `now` misses their deadline.
+    // Pending and waiting requests whose expected completion at `now` misses their deadline.
     std::vector<std::uint64_t> hopeless(TimePoint now) const;
 
-    // Granted requests past their deadline whose answer has not started.
+    // Granted and sharing requests past their deadline whose answer has not started.
     std::vector<std::uint64_t> overdue(TimePoint now) const;
 
     // The earliest time at which hopeless() or overdue() may find something new.
@@ -98,8 +112,10 @@
 
     static Urgency urgencyOf(const HeldRequest&);
     std::set<Urgency>& queueOf(const HeldRequest&);
+    void leaveQueue(const HeldRequest&);
 
     std::map<std::uint64_t, HeldRequest> requests;
+    std::set<Urgency> pending; // by latest start
     std::set<Urgency> waitingShort; // by latest start
     std::set<Urgency> waitingLong; // by latest start
     std::set<Urgency> grantedByDeadline; // grants whose answer has not started
--- a/src/coordination/PlacementAction.h
+++ b/src/coordination/PlacementAction.h
@@ -55,6 +55,7 @@
     RunOutcome outcome { RunOutcome::NotRun };
     std::string reason;
     std::chrono::milliseconds retryAfter { 0 }; // 0: no Retry-After
+    unsigned completedStatus { 0 }; // HTTP status of the earlier answer, for a repeated key with outcome Completed
 };
 
 // Holder: give the request a copy of the leader's whole answer from its first byte.
--- /dev/null
+++ b/src/coordination/RouteStatistics.cpp
@@ -0,0 +1,68 @@
+#include "coordination/RouteStatistics.h"
+
+#include <algorithm>
+
+namespace chicoryferry {
+
+namespace {
+
+// Bounds the median's cost; enough samples that 1 long request in 50 does not move it.
+constexpr std::size_t recentRuns = 256;
+constexpr std::size_t runsPerMedian = 16;
+
+// Weight of the newest run in a route's mean, reached after as many samples.
+constexpr double newestWeight = 1.0 / 32;
+
+// A route is long when its mean run time is over this many times the service's median.
+constexpr int longFactor = 8;
+
+}
+
+ExpectedRun RouteStatistics::expectedRun(const RequestDescription& description) const
+{
+    ExpectedRun expected;
+    expected.isLong = description.route.sizeClass == SizeClass::Long;
+    const auto service = this->services.find(description.service);
+    if (service == this->services.end()) {
+        return expected;
+    }
+    const auto route = service->second.routes.find({ description.route.method, description.route.path });
+    if (route == service->second.routes.end()) {
+        return expected;
+    }
+    expected.duration = std::chrono::microseconds(static_cast<std::int64_t>(route->second.meanMicroseconds));
+    if (description.route.sizeClass == SizeClass::Learned) {
+        expected.isLong = expected.duration > service->second.median * longFactor;
+    }
+    return expected;
+}
+
+void RouteStatistics::runCompleted(const RequestDescription& description, std::chrono::microseconds duration)
+{
+    ServiceTimes& service = this->services[description.service];
+    RouteTimes& route = service.routes[{ description.route.method, description.route.path }];
+    ++route.samples;
+    const double weight = std::max(newestWeight, 1.0 / static_cast<double>(route.samples));
+    route.meanMicroseconds += weight * (static_cast<double>(duration.count()) - route.meanMicroseconds);
+    if (service.recent.size() < recentRuns) {
+        service.recent.push_back(duration);
+    } else {
+        service.recent[service.next] = duration;
+        service.next = (service.next + 1) % recentRuns;
+    }
+    if (++service.sinceMedian >= runsPerMedian || service.recent.size() < runsPerMedian) {
+        std::vector<std::chrono::microseconds> sorted = service.recent;
+        const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
+        std::nth_element(sorted.begin(), middle, sorted.end());
+        service.median = *middle;
+        service.sinceMedian = 0;
+    }
+}
+
+std::chrono::microseconds RouteStatistics::median(const std::string& service) const
+{
+    const auto found = this->services.find(service);
+    return found == this->services.end() ? std::chrono::microseconds(0) : found->second.median;
+}
+
+}
--- a/src/coordination/SlotScheduler.cpp
+++ b/src/coordination/SlotScheduler.cpp
@@ -37,8 +37,13 @@
 {
 }
 
-void SlotScheduler::backendFailed(TimePoint now)
+void SlotScheduler::backendResult(TimePoint now, const RunResult& result)
 {
+    constexpr unsigned serviceUnavailable = 503;
+    const bool shed = result.outcome == RunOutcome::Completed && result.status == serviceUnavailable;
+    if (!shed && result.outcome != RunOutcome::NotRun) {
+        return;
+    }
     this->failurePause = std::clamp(this->failurePause * 2, firstFailurePause, longestFailurePause);
     this->pausedUntil = now + this->failurePause;
     this->failureLimit = 1;
--- a/src/coordination/SlotScheduler.h
+++ b/src/coordination/SlotScheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/PeerIdentity.h"
+#include "coordination/RunResult.h"
 
 #include <chrono>
 #include <compare>
@@ -58,8 +59,8 @@
     // Slots of the backend server; runs in progress above a lowered count go on.
     void setSlots(unsigned count) { this->slots = count; }
 
-    // Limits the slots in use after failures of the backend server; restored step by step while runs complete.
-    void backendFailed(TimePoint);
+    // Limits the slots in use after the backend server refused or shed a run; restored step by step while runs end.
+    void backendResult(TimePoint, const RunResult&);
 
     // False: no further claims, and outstanding ones are given up.
     void setClaiming(bool claiming);
