Distribute configuration through readers and relays

DistributionTree ranks the instances of a zone; DistributionNode decides with versions alone, and ConfigurationExchange joins it to the store, so that both run without sockets or a clock.

A process that reads a confirmation after a pause counts its age from the question it answers, not from the reading: a queued confirmation would otherwise look fresh and permit resets on outdated knowledge.

--- a/src/app/ControlPlane.cpp
+++ b/src/app/ControlPlane.cpp
@@ -1,20 +1,18 @@
 #include "app/ControlPlane.h"
 
+#include "app/ConfigurationExchange.h"
 #include "app/PlatformWatch.h"
 #include "app/Settings.h"
 #include "messages.pb.h"
-#include "state/ConfigurationStore.h"
 #include "state/ConfigurationView.h"
+#include "support/InternalError.h"
 #include "support/Logger.h"
 #include "support/Metrics.h"
 #include "transport/PeerSocket.h"
 
-#include <algorithm>
 #include <array>
 #include <atomic>
-#include <fmt/format.h>
 #include <mutex>
-#include <nlohmann/json.hpp>
 #include <thread>
 
 namespace chicoryferry {
@@ -26,9 +24,7 @@
 // Messages between the data thread and the control thread in each direction.
 constexpr std::size_t ringMessages = 4096;
 
-constexpr std::chrono::milliseconds pollInterval { 10 };
-constexpr std::chrono::seconds watchWait { 1 };
-constexpr std::chrono::seconds retryInterval { 1 };
+constexpr std::chrono::milliseconds pollInterval { 50 };
 
 // Stands for an age without any confirmation.
 constexpr std::chrono::milliseconds neverConfirmed = std::chrono::hours(24 * 365);
@@ -38,15 +34,6 @@
     wire::PeerMessage message;
 };
 
-nlohmann::json describeFaults(const StoreResult& result)
-{
-    nlohmann::json faults = nlohmann::json::array();
-    for (const ConfigurationFault& fault : result.faults) {
-        faults.push_back({ { "path", fault.path }, { "message", fault.message } });
-    }
-    return { { "version", result.version }, { "reason", storeOutcomeName(result.outcome) }, { "faults", faults } };
-}
-
 }
 
 class ControlPlane::Implementation {
@@ -58,6 +45,13 @@
         , dataWakeup(wakeup)
         , outgoingFull(processMetrics.drops("queue peer message", "ring_full"))
         , incomingFull(processMetrics.drops("deliver peer message", "ring_full"))
+        , distributionSent(processMetrics.events("distribution_message_sent"))
+        , distributionReceived(processMetrics.events("distribution_message_received"))
+        , platformCalls(processMetrics.events("platform_call"))
+        , subscriberCount(processMetrics.state("subscribers"))
+        , readerState(processMetrics.state("reader"))
+        , configurationVersion(processMetrics.state("configuration_version"))
+        , instancesVersion(processMetrics.state("instances_version"))
         , watches { PlatformWatch(processSettings.platform, DocumentKind::Configuration, this->controlWakeup),
             PlatformWatch(processSettings.platform, DocumentKind::Instances, this->controlWakeup) }
     {
@@ -72,6 +66,8 @@
     {
         this->socket = std::make_unique<PeerSocket>(this->settings.peerAddress, this->metrics);
         this->boundAddress = this->socket->address();
+        this->exchange = std::make_unique<ConfigurationExchange>(
+            this->settings.instance, this->settings.availabilityZone, this->boundAddress, this->logger, this->metrics);
         for (PlatformWatch& watch : this->watches) {
             watch.start();
         }
@@ -131,102 +127,98 @@
             this->controlWakeup.clear();
             const Clock::time_point now = Clock::now();
             this->sendQueued(now);
-            this->deliverReceived();
-            this->takeReports();
-            this->askPlatform(now);
-            this->store.prune(now);
+            // Messages are read before timeouts are handled, so that a process that was paused does not take the
+            // peers for silent whose messages it has not read.
+            this->takeMessages(now);
+            this->takeReports(now);
+            this->perform(now, this->exchange->tick(now));
             this->publish(now);
             this->socket->maintain(now);
         }
     }
 
+    void send(Clock::time_point now, const Endpoint& peer, wire::PeerMessage& message)
+    {
+        message.mutable_sender()->set_instance(this->settings.instance);
+        message.mutable_sender()->set_incarnation(this->settings.incarnation);
+        this->socket->send(now, peer, message);
+    }
+
     void sendQueued(Clock::time_point now)
     {
         while (auto queued = this->outgoing.pop()) {
-            queued->message.mutable_sender()->set_instance(this->settings.instance);
-            queued->message.mutable_sender()->set_incarnation(this->settings.incarnation);
-            this->socket->send(now, queued->peer, queued->message);
+            this->send(now, queued->peer, queued->message);
         }
     }
 
-    void deliverReceived()
+    void takeMessages(Clock::time_point now)
     {
         bool delivered = false;
         while (auto message = this->socket->receive()) {
-            if (!this->incoming.push(std::move(*message))) {
+            if (auto outputs = this->exchange->messageReceived(now, *message)) {
+                this->distributionReceived.Increment();
+                this->perform(now, std::move(*outputs));
+            } else if (this->incoming.push(std::move(*message))) {
+                delivered = true;
+            } else {
                 this->incomingFull.Increment();
             }
-            delivered = true;
         }
         if (delivered) {
             this->dataWakeup.notify();
         }
     }
 
-    void askPlatform(Clock::time_point now)
-    {
-        for (const DocumentKind kind : documentKinds) {
-            const auto index = static_cast<std::size_t>(kind);
-            if (!this->asking[index] && now >= this->nextAsk[index]) {
-                const std::uint64_t after = std::max(this->store.version(kind), this->refusedVersion[index]);
-                this->asking[index] = this->watches[index].ask({ after, watchWait });
-            }
-        }
-    }
-
-    void takeReports()
+    void takeReports(Clock::time_point now)
     {
         for (const DocumentKind kind : documentKinds) {
             const auto index = static_cast<std::size_t>(kind);
             while (const auto report = this->watches[index].takeReport()) {
-                this->asking[index] = false;
-                this->takeReport(kind, *report);
+                this->perform(now, this->exchange->platformAnswered(now, this->questions[index], kind, *report));
             }
         }
     }
 
-    void takeReport(DocumentKind kind, const PlatformReport& report)
+    void perform(Clock::time_point now, ConfigurationExchange::Outputs outputs)
     {
-        const auto index = static_cast<std::size_t>(kind);
-        if (report.result == PlatformReport::Result::Failed) {
-            this->nextAsk[index] = Clock::now() + retryInterval;
-            this->metrics.retries("read platform", "failed").Increment();
-            this->logger.log(LogLevel::Warning, "platform_failed", report.step, formatEndpoint(this->settings.platform),
-                { { "message", report.text } });
-            return;
-        }
-        if (report.result == PlatformReport::Result::Document) {
-            const StoreResult result = this->store.offerText(Clock::now(), kind, report.text);
-            if (result.outcome != StoreOutcome::Accepted) {
-                this->refuse(kind, result);
-                return;
+        for (auto& output : outputs) {
+            if (auto* message = std::get_if<ConfigurationExchange::Message>(&output)) {
+                this->distributionSent.Increment();
+                this->send(now, message->peer, message->message);
+            } else {
+                this->ask(std::get<AskPlatform>(output));
             }
         }
-        if (kind == DocumentKind::Configuration) {
-            this->confirmedAt = report.answeredAt.time_since_epoch().count();
-        }
     }
 
-    void refuse(DocumentKind kind, const StoreResult& result)
+    void ask(const AskPlatform& action)
     {
-        const auto index = static_cast<std::size_t>(kind);
-        this->nextAsk[index] = Clock::now() + retryInterval;
-        this->refusedVersion[index] = std::max(this->refusedVersion[index], result.version);
-        const std::string step = fmt::format("take {}", documentKindName(kind));
-        this->metrics.refusals(step, std::string(storeOutcomeName(result.outcome))).Increment();
-        this->logger.log(LogLevel::Warning, "document_refused", step, formatEndpoint(this->settings.platform),
-            describeFaults(result));
+        const auto index = static_cast<std::size_t>(action.kind);
+        this->questions[index] = { action.after, action.wait };
+        const bool asked = this->watches[index].ask(this->questions[index]);
+        internalAssert(asked, "ask platform", "a question of this kind is under way");
+        this->platformCalls.Increment();
     }
 
     void publish(Clock::time_point now)
     {
-        this->publishedComplete = this->store.historyComplete(now);
-        auto view = this->store.view();
-        const std::lock_guard lock(this->viewMutex);
-        if (view != this->publishedView) {
+        this->publishedComplete = this->exchange->store().historyComplete(now);
+        const auto confirmed = this->exchange->node().confirmedAt();
+        this->confirmedAt = confirmed ? confirmed->time_since_epoch().count() : 0;
+        this->subscriberCount.Set(static_cast<double>(this->exchange->node().subscribers()));
+        this->readerState.Set(this->exchange->node().isReader() ? 1 : 0);
+        auto view = this->exchange->view();
+        if (view == this->lastView) {
+            return;
+        }
+        this->lastView = view;
+        this->configurationVersion.Set(static_cast<double>(view->configuration().version));
+        this->instancesVersion.Set(static_cast<double>(view->instances().version));
+        {
+            const std::lock_guard lock(this->viewMutex);
             this->publishedView = std::move(view);
-            this->dataWakeup.notify();
         }
+        this->dataWakeup.notify();
     }
 
     const Settings& settings;
@@ -235,6 +227,13 @@
     Wakeup& dataWakeup;
     prometheus::Counter& outgoingFull;
     prometheus::Counter& incomingFull;
+    prometheus::Counter& distributionSent;
+    prometheus::Counter& distributionReceived;
+    prometheus::Counter& platformCalls;
+    prometheus::Gauge& subscriberCount;
+    prometheus::Gauge& readerState;
+    prometheus::Gauge& configurationVersion;
+    prometheus::Gauge& instancesVersion;
 
     Wakeup controlWakeup;
     BoundedRing<OutgoingMessage> outgoing { ringMessages };
@@ -246,10 +245,9 @@
     std::atomic<bool> stopping { false };
 
     // Control thread only.
-    ConfigurationStore store;
-    std::array<bool, 2> asking { false, false };
-    std::array<Clock::time_point, 2> nextAsk;
-    std::array<std::uint64_t, 2> refusedVersion { 0, 0 };
+    std::unique_ptr<ConfigurationExchange> exchange;
+    std::array<PlatformQuestion, 2> questions;
+    std::shared_ptr<const ConfigurationView> lastView;
 
     mutable std::mutex viewMutex;
     std::shared_ptr<const ConfigurationView> publishedView;
--- a/src/app/PlatformWatch.cpp
+++ b/src/app/PlatformWatch.cpp
@@ -61,7 +61,6 @@
 PlatformReport PlatformWatch::answer(const PlatformQuestion& question) const
 {
     PlatformReport report;
-    report.after = question.after;
     report.askedAt = std::chrono::steady_clock::now();
     try {
         const PlatformClient client(this->platform);
--- a/src/app/PlatformWatch.h
+++ b/src/app/PlatformWatch.h
@@ -29,7 +29,6 @@
     };
 
     Result result { Result::Failed };
-    std::uint64_t after { 0 };
     std::string text; // Document: the document; Failed: the reason
     std::string step; // Failed: during which step
     std::chrono::steady_clock::time_point askedAt;
--- /dev/null
+++ b/src/coordination/HeldVersions.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "protocol/DocumentKind.h"
+
+#include <cstdint>
+
+namespace chicoryferry {
+
+// What a process holds of the platform's documents.
+struct HeldVersions {
+    std::uint64_t configuration { 0 }; // 0: none
+    std::uint64_t instances { 0 }; // 0: none
+    std::uint64_t configurationHash { 0 };
+    bool historyComplete { false }; // every configuration of the last retention is known
+
+    std::uint64_t of(DocumentKind kind) const
+    {
+        return kind == DocumentKind::Configuration ? this->configuration : this->instances;
+    }
+
+    bool both() const { return this->configuration != 0 && this->instances != 0; }
+
+    // True when the other holds a newer document of either kind.
+    bool behind(const HeldVersions& other) const
+    {
+        return this->configuration < other.configuration || this->instances < other.instances;
+    }
+};
+
+}
