--- a/test/integration/Cluster.cpp
+++ b/test/integration/Cluster.cpp
@@ -132,7 +132,7 @@
     host.adminAddress = addressIn(listening, "admin");
     if (this->plan.proxied) {
         const nlohmann::json relay = controlRequest(this->proxyControl, "PUT", "/control/relay",
-            { { "name", host.plan.name }, { "protocol", "tcp" }, { "target", formatEndpoint(host.peerAddress) } });
+            { { "name", host.plan.name }, { "protocol", "messages" }, { "target", formatEndpoint(host.peerAddress) } });
         host.peerAddress = addressIn(relay, "address");
     }
 }
@@ -384,9 +384,10 @@
     controlRequest(this->host(host).backendAddress, "PUT", "/control/settings", settings);
 }
 
-nlohmann::json Cluster::controlProxy(const nlohmann::json& relay) const
+nlohmann::json Cluster::setProxyRules(const nlohmann::json& rules) const
 {
-    return controlRequest(this->proxyControl, "PUT", "/control/relay", relay);
+    return controlRequest(
+        this->proxyControl, "PUT", "/control/rules", { { "seed", this->plan.seed }, { "rules", rules } });
 }
 
 nlohmann::json Cluster::runs() const
--- a/test/integration/Cluster.h
+++ b/test/integration/Cluster.h
@@ -71,7 +71,8 @@
     nlohmann::json controlPlatform(
         const std::string& method, const std::string& path, const nlohmann::json& body) const;
     void setBackend(const std::string& host, const nlohmann::json& settings);
-    nlohmann::json controlProxy(const nlohmann::json& relay) const;
+    // Replaces the rules of the proxy stand-in (see ProxyRules).
+    nlohmann::json setProxyRules(const nlohmann::json& rules) const;
 
     // The records of every backend server that was ever started.
     nlohmann::json runs() const;
--- /dev/null
+++ b/test/standins/MessageFrames.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+namespace chicoryferry::standins {
+
+// Cuts the bytes of a ZeroMQ connection (ZMTP 3) into its greeting, command frames and message frames.
+class MessageFrames {
+public:
+    struct Frame {
+        std::string bytes; // as they go over the connection
+        std::string from; // sender of a PeerMessage
+        std::string kind; // body field of a PeerMessage; empty for the greeting and for commands
+    };
+
+    void append(const char* data, std::size_t length) { this->pending.append(data, length); }
+
+    // The next whole frame.
+    std::optional<Frame> next();
+
+private:
+    std::string pending;
+    bool greetingSeen { false };
+};
+
+}
--- a/test/standins/StandinsMain.cpp
+++ b/test/standins/StandinsMain.cpp
@@ -1,6 +1,7 @@
 #include "BackendStandin.h"
 #include "NetworkStandin.h"
 #include "PlatformStandin.h"
+#include "ProxyStandin.h"
 
 #include <exception>
 #include <fmt/format.h>
@@ -20,6 +21,7 @@
     { "backend", chicoryferry::standins::runBackendStandin },
     { "network", chicoryferry::standins::runNetworkStandin },
     { "platform", chicoryferry::runPlatformStandin },
+    { "proxy", chicoryferry::standins::runProxyStandin },
 };
 
 }
