--- a/src/protocol/HttpRequestParser.cpp
+++ b/src/protocol/HttpRequestParser.cpp
@@ -142,7 +142,8 @@
 
 std::size_t HttpRequestParser::feedBody(std::string_view data)
 {
-    if (this->pending.size() >= maximumPendingBytes) {
+    // An empty input tells libhttp-parser that the connection has ended.
+    if (data.empty() || this->pending.size() >= maximumPendingBytes) {
         return 0;
     }
     // Decoding shortens a body, so this many bytes fit.
--- a/test/unit/TcpPair.h
+++ b/test/unit/TcpPair.h
@@ -59,6 +59,7 @@
     std::vector<TcpEvent> clientEvents;
     std::vector<TcpEvent> serverEvents;
     std::uint64_t accepted { 0 };
+    std::function<void(const TcpEvent&)> onServerEvent;
     TcpStack client { [this](std::span<const std::uint8_t> packet) {
                          this->toServer.emplace_back(packet.begin(), packet.end());
                      },
@@ -68,6 +69,9 @@
                      },
         [this](const TcpEvent& event) {
             this->serverEvents.push_back(event);
+            if (this->onServerEvent) {
+                this->onServerEvent(event);
+            }
             if (const auto* accept = std::get_if<TcpAccepted>(&event)) {
                 this->accepted = accept->connection;
             }
