Export and import the TCP state of established flows

A second agent continues a flow in both directions in one process: interfaces keep the stacks' control blocks apart.

--- a/src/transport/TcpStack.cpp
+++ b/src/transport/TcpStack.cpp
@@ -85,6 +85,12 @@
     }
 }
 
+TcpFlowSummary summarize(const tcp_pcb& block)
+{
+    return { toEndpoint(block.local_ip, block.local_port), toEndpoint(block.remote_ip, block.remote_port),
+        phaseOfState(block.state) };
+}
+
 // lwIP counts initial sequence numbers up from a constant. Two agents that admit the same repeated first packet must
 // choose different numbers, and outsiders must not guess them, so a random amount is added before each choice.
 void randomizeInitialSequence()
@@ -386,14 +392,99 @@
         return true;
     }
 
+    std::optional<TcpFlowSummary> flowOf(std::uint64_t identifier) const
+    {
+        const Connection* connection = this->lookUp(identifier);
+        if (connection == nullptr || connection->controlBlock == nullptr) {
+            return std::nullopt;
+        }
+        return summarize(*connection->controlBlock);
+    }
+
+    std::optional<TcpFlowState> exportState(std::uint64_t identifier)
+    {
+        const Connection* connection = this->lookUp(identifier);
+        if (connection == nullptr || connection->controlBlock == nullptr || connection->peerClosed) {
+            return std::nullopt;
+        }
+        tcp_pcb& block = *connection->controlBlock;
+        const bool quiet = block.unsent == nullptr && block.unacked == nullptr && block.ooseq == nullptr
+            && block.refused_data == nullptr && block.snd_nxt == block.snd_lbb && block.snd_nxt == block.lastack;
+        if (block.state != ESTABLISHED || !quiet) {
+            return std::nullopt;
+        }
+        if ((block.flags & (TF_ACK_DELAY | TF_ACK_NOW)) != 0) {
+            tcp_ack_now(&block);
+            tcp_output(&block);
+        }
+        TcpFlowState state;
+        state.maximumSegment = block.mss;
+        state.receiveNext = block.rcv_nxt;
+        state.receiveWindow = block.rcv_wnd;
+        state.announcedWindow = block.rcv_ann_wnd;
+        state.announcedRightEdge = block.rcv_ann_right_edge;
+        state.sendNext = block.snd_nxt;
+        state.windowUpdateSequence = block.snd_wl1;
+        state.windowUpdateAcknowledgement = block.snd_wl2;
+        state.sendWindow = block.snd_wnd;
+        state.sendWindowMaximum = block.snd_wnd_max;
+        state.congestionWindow = block.cwnd;
+        state.slowStartThreshold = block.ssthresh;
+        state.windowScaling = (block.flags & TF_WND_SCALE) != 0 ? 1 : 0;
+        state.sendScale = block.snd_scale;
+        state.receiveScale = block.rcv_scale;
+        state.unread = this->readable(identifier);
+        return state;
+    }
+
+    std::optional<std::uint64_t> importFlow(const Endpoint& local, const Endpoint& remote, const TcpFlowState& state)
+    {
+        const tcp_pcb* existing = this->find(local, remote);
+        if (existing != nullptr && existing->state != TIME_WAIT) {
+            return std::nullopt;
+        }
+        this->removeSilently(local, remote);
+        tcp_pcb* block = tcp_new_ip_type(IPADDR_TYPE_V4);
+        internalAssert(block != nullptr, "import flow", "out of memory");
+        tcp_bind_netif(block, &this->interface);
+        block->local_ip = toLwip(local.address);
+        block->local_port = local.port;
+        block->remote_ip = toLwip(remote.address);
+        block->remote_port = remote.port;
+        block->state = ESTABLISHED;
+        ip_set_option(block, SOF_KEEPALIVE);
+        block->mss = static_cast<u16_t>(state.maximumSegment);
+        block->rcv_nxt = state.receiveNext;
+        block->rcv_wnd = state.receiveWindow;
+        block->rcv_ann_wnd = state.announcedWindow;
+        block->rcv_ann_right_edge = state.announcedRightEdge;
+        block->snd_nxt = state.sendNext;
+        block->snd_lbb = state.sendNext;
+        block->lastack = state.sendNext;
+        block->snd_wl1 = state.windowUpdateSequence;
+        block->snd_wl2 = state.windowUpdateAcknowledgement;
+        block->snd_wnd = state.sendWindow;
+        block->snd_wnd_max = state.sendWindowMaximum;
+        block->cwnd = state.congestionWindow;
+        block->ssthresh = state.slowStartThreshold;
+        block->snd_scale = static_cast<u8_t>(state.sendScale);
+        block->rcv_scale = static_cast<u8_t>(state.receiveScale);
+        if (state.windowScaling != 0) {
+            tcp_set_flags(block, TF_WND_SCALE);
+        }
+        Connection& connection = this->attach(block);
+        connection.received = state.unread;
+        TCP_REG_ACTIVE(block);
+        return connection.identifier;
+    }
+
     std::vector<TcpFlowSummary> flows() const
     {
         std::vector<TcpFlowSummary> result;
         for (const tcp_pcb* list : { tcp_active_pcbs, tcp_tw_pcbs }) {
             for (const tcp_pcb* block = list; block != nullptr; block = block->next) {
                 if (this->owns(*block)) {
-                    result.push_back({ toEndpoint(block->local_ip, block->local_port),
-                        toEndpoint(block->remote_ip, block->remote_port), phaseOfState(block->state) });
+                    result.push_back(summarize(*block));
                 }
             }
         }
@@ -752,6 +843,22 @@
     return this->implementation->removeSilently(local, remote);
 }
 
+std::optional<TcpFlowSummary> TcpStack::flowOf(std::uint64_t connection) const
+{
+    return this->implementation->flowOf(connection);
+}
+
+std::optional<TcpFlowState> TcpStack::exportState(std::uint64_t connection)
+{
+    return this->implementation->exportState(connection);
+}
+
+std::optional<std::uint64_t> TcpStack::importFlow(
+    const Endpoint& local, const Endpoint& remote, const TcpFlowState& state)
+{
+    return this->implementation->importFlow(local, remote, state);
+}
+
 std::vector<TcpFlowSummary> TcpStack::flows() const { return this->implementation->flows(); }
 
 std::size_t TcpStack::connectionCount() const { return this->implementation->connectionCount(); }
--- a/src/transport/TcpStack.h
+++ b/src/transport/TcpStack.h
@@ -3,6 +3,7 @@
 #include "protocol/Endpoint.h"
 #include "transport/TcpEvent.h"
 #include "transport/TcpFlowPhase.h"
+#include "transport/TcpFlowState.h"
 #include "transport/TcpFlowSummary.h"
 
 #include <chrono>
@@ -87,6 +88,17 @@
     // false when the flow is not held.
     bool removeSilently(const Endpoint& local, const Endpoint& remote);
 
+    // The flow of an open connection; nothing for an unknown one.
+    std::optional<TcpFlowSummary> flowOf(std::uint64_t connection) const;
+
+    // The state from which another stack can continue the connection; nothing while bytes are in flight or out of
+    // order, or a side has closed. An acknowledgement that is due is sent first.
+    std::optional<TcpFlowState> exportState(std::uint64_t connection);
+
+    // Continues a flow of another stack and returns the connection's identifier; nothing when the flow is held. Sends
+    // no packet. Bytes that the other stack's user had not read are readable at once, without an event.
+    std::optional<std::uint64_t> importFlow(const Endpoint& local, const Endpoint& remote, const TcpFlowState&);
+
     // Every flow held, those of closed connections and in TIME-WAIT included.
     std::vector<TcpFlowSummary> flows() const;
 
