--- a/src/app/AgentProcess.cpp
+++ b/src/app/AgentProcess.cpp
@@ -1,6 +1,7 @@
 #include "app/AgentProcess.h"
 
 #include "app/StatusReport.h"
+#include "messages.pb.h"
 #include "state/ConfigurationView.h"
 #include "transport/AdminServer.h"
 
@@ -19,6 +20,9 @@
 
 constexpr std::chrono::milliseconds reconcileInterval { 500 };
 
+// How often a leaving agent looks for connections to hand over; a request that arrives waits at most this long.
+constexpr std::chrono::milliseconds handoverInterval { 10 };
+
 // Bounds one round, so that timers, messages and signals are served under load.
 constexpr int batchesPerRound = 16;
 
@@ -46,7 +50,19 @@
           [this](
               const Endpoint& peer, wire::PeerMessage message) { return this->control.send(peer, std::move(message)); })
     , edge(this->stack, this->metrics, this->edgeBroker())
+    , transfer(
+          this->settings.instance, this->flows, this->admission, this->stack, this->edge, this->metrics,
+          [this](
+              const Endpoint& peer, wire::PeerMessage message) { return this->control.send(peer, std::move(message)); },
+          [this](TimePoint now, const Endpoint& source, std::span<const std::uint8_t> datagram) {
+              this->intake.datagramReceived(now, source, datagram, this->control.confirmationAge());
+              this->socket.flush();
+          })
 {
+    this->intake.setInterceptor(
+        [this](const FlowKey& key, const Endpoint& source, std::span<const std::uint8_t> datagram) {
+            return this->transfer.holdPacket(key, source, datagram);
+        });
 }
 
 EdgeBroker AgentProcess::edgeBroker()
@@ -108,9 +124,14 @@
         this->nextTick = now + tickInterval;
         this->edge.tick(now);
     }
+    if (this->draining && now >= this->nextHandover) {
+        this->nextHandover = now + handoverInterval;
+        this->transfer.poll(now);
+    }
     if (now >= this->nextReconcile) {
         this->nextReconcile = now + reconcileInterval;
         this->intake.reconcile();
+        this->transfer.reconcile();
         this->updateGauges();
     }
     this->socket.flush();
@@ -119,7 +140,10 @@
 std::chrono::milliseconds AgentProcess::nextTimeout() const
 {
     const TimePoint now = Clock::now();
-    const TimePoint due = std::min(this->broker.nextTimeout(), this->nextTick);
+    TimePoint due = std::min(this->broker.nextTimeout(), this->nextTick);
+    if (this->draining) {
+        due = std::min(due, this->nextHandover);
+    }
     const auto untilDue = std::chrono::ceil<std::chrono::milliseconds>(std::max(due, now) - now);
     return std::min({ untilDue, this->stack.nextTimeout(), tickInterval });
 }
@@ -146,7 +170,11 @@
     this->applyView();
     const TimePoint now = Clock::now();
     while (const auto message = this->control.receive()) {
-        this->broker.messageReceived(now, *message);
+        if (message->has_handover() || message->has_handover_answer()) {
+            this->transfer.messageReceived(now, *message);
+        } else {
+            this->broker.messageReceived(now, *message);
+        }
     }
 }
 
@@ -162,6 +190,7 @@
     if (const Service* service = this->currentView->serviceOfHost(this->settings.instance)) {
         this->stack.listen(service->endpoint);
     }
+    this->transfer.viewChanged(this->currentView);
     this->broker.viewChanged(Clock::now(), this->currentView, this->control.historyComplete());
     this->ready = true;
     this->logger.log(LogLevel::Info, first ? "ready" : "configuration_in_force", "apply configuration", "",
@@ -200,7 +229,7 @@
         { { "flows", this->flows.liveCount() }, { "requests", this->broker.requestsInFlight() } });
     this->admission.startDraining();
     this->broker.startDraining(now);
-    this->edge.startDraining(now, false);
+    this->edge.startDraining(now, true);
 }
 
 bool AgentProcess::isDrained() const
--- a/src/app/AgentProcess.h
+++ b/src/app/AgentProcess.h
@@ -2,6 +2,7 @@
 
 #include "app/ControlPlane.h"
 #include "app/FlowIntake.h"
+#include "app/FlowTransfer.h"
 #include "app/HttpEdge.h"
 #include "app/PacketOutbox.h"
 #include "app/RequestBroker.h"
@@ -64,9 +65,11 @@
     ControlPlane control;
     RequestBroker broker;
     HttpEdge edge;
+    FlowTransfer transfer;
     std::shared_ptr<const ConfigurationView> currentView;
     TimePoint nextTick;
     TimePoint nextReconcile;
+    TimePoint nextHandover;
     TimePoint lastPacket;
     TimePoint drainStart;
     std::uint64_t reportedSocketDrops { 0 };
--- a/src/app/FlowIntake.cpp
+++ b/src/app/FlowIntake.cpp
@@ -44,6 +44,9 @@
         return;
     }
     const auto& packet = std::get<PacketView>(parsed);
+    if (this->interceptor && this->interceptor(keyOf(packet), source, datagram)) {
+        return;
+    }
     this->forgetClosedFlow(packet);
     const AdmissionDecision decision = this->admission.decide(now, source, this->header, packet, confirmationAge);
     std::visit([&](const auto& each) { this->carryOut(packet, each); }, decision);
--- a/src/app/FlowIntake.h
+++ b/src/app/FlowIntake.h
@@ -9,8 +9,10 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <span>
 #include <string>
+#include <utility>
 
 namespace chicoryferry {
 
@@ -30,6 +32,11 @@
     void datagramReceived(TimePoint, const Endpoint& source, std::span<const std::uint8_t> datagram,
         std::chrono::milliseconds confirmationAge);
 
+    // Asked for each valid packet; returns true when it has kept a copy of the datagram, which is then not processed.
+    using Interceptor
+        = std::function<bool(const FlowKey&, const Endpoint& source, std::span<const std::uint8_t> datagram)>;
+    void setInterceptor(Interceptor function) { this->interceptor = std::move(function); }
+
     // The stack has accepted the flow's connection.
     void flowAccepted(const FlowKey&);
 
@@ -50,6 +57,7 @@
     TcpStack& stack;
     UdpSocket& socket;
     Metrics& metrics;
+    Interceptor interceptor;
     wire::EnvelopeHeader header;
     prometheus::Counter& delivered;
     prometheus::Counter& passedOn;
--- a/src/app/HttpEdge.cpp
+++ b/src/app/HttpEdge.cpp
@@ -123,7 +123,7 @@
 bool HttpEdge::readHead(TimePoint now, EdgeConnection& connection)
 {
     const std::string_view data = this->stack.readable(connection.identifier);
-    if (data.empty()) {
+    if (data.empty() || this->isParked(connection)) {
         return false;
     }
     if (connection.parser.isIdle()) {
@@ -376,7 +376,7 @@
         const bool headMissing = state == HttpRequestParser::State::Head && !connection.parser.isIdle();
         if (headMissing && now - connection.lastInput > headTimeout) {
             this->refuse(now, connection, { requestTimeout, "head_timeout" }, false);
-        } else if (this->draining && !this->keepIdleConnections && this->isIdle(connection)
+        } else if (this->draining && !this->keepIdleConnections && this->isQuiet(connection)
             && now - connection.idleSince > drainGrace) {
             this->close(connection);
         }
@@ -397,24 +397,42 @@
     }
     this->process(now, [&] {
         for (const auto& [identifier, connection] : this->connections) {
-            if (!connection->ended && this->isIdle(*connection)) {
+            if (!connection->ended && this->isQuiet(*connection)) {
                 this->close(*connection);
             }
         }
     });
 }
 
-bool HttpEdge::isIdle(const EdgeConnection& connection) const
+bool HttpEdge::isQuiet(const EdgeConnection& connection) const
 {
     return !connection.ended && connection.request == 0 && connection.parser.isIdle() && connection.output.empty()
         && !connection.answerFinished && this->stack.readable(connection.identifier).empty();
 }
 
+// No further request is read while the connection waits for its handover; unread bytes go with it.
+bool HttpEdge::isParked(const EdgeConnection& connection) const
+{
+    return this->draining && this->keepIdleConnections && !connection.closeAfterAnswer && connection.request == 0
+        && connection.parser.isIdle();
+}
+
+bool HttpEdge::isIdle(std::uint64_t identifier) const
+{
+    const auto found = this->connections.find(identifier);
+    if (found == this->connections.end()) {
+        return false;
+    }
+    const EdgeConnection& connection = *found->second;
+    return !connection.ended && !connection.closeAfterAnswer && connection.request == 0 && connection.parser.isIdle()
+        && connection.output.empty() && !connection.answerFinished && this->stack.unacknowledged(identifier) == 0;
+}
+
 std::vector<std::uint64_t> HttpEdge::idleConnections() const
 {
     std::vector<std::uint64_t> result;
     for (const auto& [identifier, connection] : this->connections) {
-        if (this->isIdle(*connection) && this->stack.unacknowledged(identifier) == 0) {
+        if (this->isIdle(identifier)) {
             result.push_back(identifier);
         }
     }
@@ -431,7 +449,8 @@
     }
     connection->closeAfterAnswer = true;
     this->process(now, [&] {
-        if (this->isIdle(*connection)) {
+        this->pump(now, *connection);
+        if (this->isQuiet(*connection)) {
             this->close(*connection);
         }
     });
--- a/src/app/HttpEdge.h
+++ b/src/app/HttpEdge.h
@@ -42,16 +42,20 @@
     void tick(TimePoint);
 
     // From now on connections end: idle ones at once, the others with their next answer. With keepIdle, connections
-    // stay open for handover.
+    // stay open for handover, and no further request is read from them.
     void startDraining(TimePoint, bool keepIdle);
 
-    // Connections on which nothing is in progress or on its way in either direction.
+    // Connections on which no request is in progress and no answer on its way. Requests that were not read yet do not
+    // count.
     std::vector<std::uint64_t> idleConnections() const;
 
+    // True when the connection is known and idleConnections() contains it.
+    bool isIdle(std::uint64_t connection) const;
+
     // Forgets a connection that was handed over, without touching it.
     void release(std::uint64_t connection);
 
-    // Ends a connection that cannot be handed over, when it is idle or with its next answer.
+    // Ends a connection that cannot be handed over: at once, or after the requests that have arrived on it.
     void endWhenIdle(TimePoint, std::uint64_t connection);
 
     std::size_t connectionCount() const { return this->connections.size(); }
@@ -77,7 +81,8 @@
     void write(TimePoint, EdgeConnection&, std::string text, std::size_t bodyBytes);
     void flush(TimePoint, EdgeConnection&);
     void finishAnswer(TimePoint, EdgeConnection&);
-    bool isIdle(const EdgeConnection&) const;
+    bool isQuiet(const EdgeConnection&) const;
+    bool isParked(const EdgeConnection&) const;
     void peerClosed(TimePoint, EdgeConnection&);
     void checkTimeouts(TimePoint, EdgeConnection&);
     void cancelRequest(TimePoint, EdgeConnection&);
--- a/src/coordination/FlowAdmission.cpp
+++ b/src/coordination/FlowAdmission.cpp
@@ -112,6 +112,27 @@
         [&](std::uint32_t index) { return &this->view->configuration().hosts[index] == own; });
 }
 
+std::string_view FlowAdmission::takeoverRefusal(std::uint64_t identifier, const FlowKey& key) const
+{
+    if (!this->view) {
+        return "not_ready";
+    }
+    const Service* service = this->view->serviceById(identifier);
+    if (service == nullptr || service->endpoint != key.service) {
+        return admissionDropName(AdmissionDrop::WrongService);
+    }
+    if (this->isDraining()) {
+        return admissionRefusalName(AdmissionRefusal::RefusedDraining);
+    }
+    if (!this->serves(*service, key.caller)) {
+        return admissionRefusalName(AdmissionRefusal::RefusedNotSelected);
+    }
+    if (this->flows.liveCount() >= this->ownHost()->connections) {
+        return admissionRefusalName(AdmissionRefusal::RefusedFull);
+    }
+    return "";
+}
+
 std::uint64_t FlowAdmission::ownVersion() const { return this->view->configuration().version; }
 
 AdmissionDecision FlowAdmission::decide(TimePoint now, const Endpoint& source, wire::EnvelopeHeader& header,
--- a/src/coordination/FlowAdmission.h
+++ b/src/coordination/FlowAdmission.h
@@ -65,6 +65,9 @@
     // The flow was taken over, so that its earlier misses no longer count.
     void flowAdopted(const FlowKey& key) { this->unknownFlows.forget(key); }
 
+    // Why this host does not take over the established flow of a leaving one; empty when it does.
+    std::string_view takeoverRefusal(std::uint64_t serviceId, const FlowKey&) const;
+
 private:
     const Host* ownHost() const;
     bool serves(const Service&, const Endpoint& caller) const;
