--- a/src/app/FlowTransfer.cpp
+++ b/src/app/FlowTransfer.cpp
@@ -199,7 +199,7 @@
         && earlier->second.handover == message.handover()) {
         return "";
     }
-    const std::string refusal(this->admission.takeoverRefusal(message.flow().service_id(), key));
+    std::string refusal(this->admission.takeoverRefusal(message.flow().service_id(), key));
     if (!refusal.empty()) {
         return refusal;
     }
--- /dev/null
+++ b/test/unit/AgentsMoveFlowsWithoutLoss.cpp
@@ -0,0 +1,229 @@
+#include "AdmissionFixture.h"
+#include "TcpPair.h"
+#include "app/FlowTransfer.h"
+#include "app/HttpEdge.h"
+#include "support/Metrics.h"
+
+#include <doctest/doctest.h>
+
+extern "C" {
+#include <lwip/priv/tcp_priv.h>
+}
+
+using namespace chicoryferry;
+using namespace std::chrono_literals;
+
+namespace {
+
+// The part of an agent that takes part in a handover; its messages are collected.
+struct Party {
+    explicit Party(const std::string& instance, std::uint64_t incarnation, TcpPair& tcpPair)
+        : pair(tcpPair)
+        , admission(instance, incarnation, flows)
+        , transfer(
+              instance, flows, admission, stack, edge, metrics,
+              [this](const Endpoint&, wire::PeerMessage message) {
+                  this->sent.push_back(std::move(message));
+                  return true;
+              },
+              [this](auto, const Endpoint&, std::span<const std::uint8_t> datagram) {
+                  this->replayed.emplace_back(datagram.begin(), datagram.end());
+              })
+        , name(instance)
+        , number(incarnation)
+    {
+        this->admission.viewChanged(AdmissionFixture::makeView(5));
+        this->transfer.viewChanged(AdmissionFixture::makeView(5));
+    }
+
+    // Delivers what this party sent.
+    void sendTo(Party& other)
+    {
+        std::vector<wire::PeerMessage> messages;
+        std::swap(messages, this->sent);
+        for (wire::PeerMessage& message : messages) {
+            message.mutable_sender()->set_instance(this->name);
+            message.mutable_sender()->set_incarnation(this->number);
+            other.transfer.messageReceived(this->now, message);
+        }
+    }
+
+    HttpEdge::TimePoint now { 1000s };
+    TcpPair& pair;
+    std::vector<std::string> submitted;
+    Metrics metrics;
+    FlowTable flows;
+    FlowAdmission admission;
+    TcpStack stack { [this](std::span<const std::uint8_t> packet) {
+                        this->pair.toClient.emplace_back(packet.begin(), packet.end());
+                    },
+        [this](const TcpEvent& event) {
+            if (const auto* accepted = std::get_if<TcpAccepted>(&event)) {
+                this->flows.put({ accepted->remote, accepted->local }, { serviceId("job"), FlowState::Open, 0 });
+                this->edge.opened(this->now, accepted->connection, "job", accepted->remote);
+            } else {
+                this->edge.connectionEvent(this->now, event);
+            }
+        } };
+    HttpEdge edge { this->stack, this->metrics,
+        { [this](auto, const std::string&, const Endpoint&, const HttpRequestHead& head) {
+             this->submitted.push_back(head.target);
+             return this->submitted.size();
+         },
+            [](auto, auto, auto, auto) {}, [](auto, auto, auto) {}, [](auto, auto) {} } };
+    std::vector<wire::PeerMessage> sent;
+    std::vector<std::vector<std::uint8_t>> replayed;
+    FlowTransfer transfer;
+    std::string name;
+    std::uint64_t number;
+};
+
+// Runs the caller's stack against one party.
+void run(TcpPair& pair, Party& party)
+{
+    for (int round = 0; round < 50; ++round) {
+        pair.client.poll();
+        party.stack.poll();
+        while (!pair.toServer.empty()) {
+            const TcpPair::Packet packet = pair.toServer.front();
+            pair.toServer.pop_front();
+            party.stack.input(packet);
+        }
+        while (!pair.toClient.empty()) {
+            const TcpPair::Packet packet = pair.toClient.front();
+            pair.toClient.pop_front();
+            pair.client.input(packet);
+        }
+    }
+}
+
+struct Handover {
+    Handover()
+    {
+        this->leaving.stack.listen(this->pair.service);
+        this->connection = this->pair.client.connect(this->pair.caller, this->pair.service);
+        run(this->pair, this->leaving);
+        this->leaving.edge.startDraining(this->leaving.now, true);
+    }
+
+    TcpPair pair;
+    Party leaving { "a-1", 1, this->pair };
+    Party next { "a-2", 2, this->pair };
+    Party third { "a-3", 3, this->pair };
+    std::uint64_t connection { 0 };
+
+    // The party that was asked.
+    Party& asked()
+    {
+        const auto key = FlowKey { this->pair.caller, this->pair.service };
+        FlowHandover handover("a-1");
+        handover.viewChanged(AdmissionFixture::makeView(5));
+        const auto actions = handover.offer(this->leaving.now, key);
+        return std::get<SendHandover>(actions.front()).peerAddress.port == 8002 ? this->next : this->third;
+    }
+};
+
+}
+
+// Guards promise P1: a request that arrives during the handover is answered by the new host.
+TEST_CASE("an idle flow moves with the request that was not read")
+{
+    Handover test;
+    test.pair.client.write(test.connection, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    run(test.pair, test.leaving);
+    CHECK(test.leaving.submitted.empty());
+    test.leaving.transfer.poll(test.leaving.now);
+    Party& taker = test.asked();
+    const FlowKey key { test.pair.caller, test.pair.service };
+    const std::vector<std::uint8_t> packet { 1, 2, 3 };
+    CHECK(test.leaving.transfer.holdPacket(key, {}, packet));
+
+    test.leaving.sendTo(taker);
+    CHECK(taker.submitted == std::vector<std::string> { "/1" });
+    CHECK(test.leaving.flows.size() == 1);
+    taker.sendTo(test.leaving);
+    CHECK(test.leaving.flows.size() == 0);
+    CHECK(test.leaving.edge.connectionCount() == 0);
+    CHECK(test.leaving.replayed == std::vector<std::vector<std::uint8_t>> { packet });
+    CHECK_FALSE(test.leaving.transfer.holdPacket(key, {}, packet));
+
+    taker.edge.brokerEvent(taker.now, AnswerStart { 1, { 200, {}, BodyFraming::ContentLength, 2 } });
+    taker.edge.brokerEvent(taker.now, AnswerData { 1, "ok" });
+    taker.edge.brokerEvent(taker.now, AnswerFinish { 1, true });
+    run(test.pair, taker);
+    CHECK(TcpPair::take(test.pair.client, test.connection) == "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    CHECK(test.pair.count<TcpEnded>(test.pair.clientEvents) == 0);
+}
+
+// Guards promise P7: a flow with a request in flight moves only after its answer.
+TEST_CASE("a busy flow moves after its answer")
+{
+    TcpPair pair;
+    Party leaving("a-1", 1, pair);
+    leaving.stack.listen(pair.service);
+    const std::uint64_t connection = pair.client.connect(pair.caller, pair.service);
+    run(pair, leaving);
+    pair.client.write(connection, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    run(pair, leaving);
+    leaving.edge.startDraining(leaving.now, true);
+    leaving.transfer.poll(leaving.now);
+    CHECK(leaving.sent.empty());
+    leaving.edge.brokerEvent(leaving.now, AnswerStart { 1, { 200, {}, BodyFraming::ContentLength, 0 } });
+    leaving.edge.brokerEvent(leaving.now, AnswerFinish { 1, true });
+    leaving.transfer.poll(leaving.now);
+    CHECK(leaving.sent.empty()); // the answer is on its way
+    run(pair, leaving);
+    CHECK(TcpPair::take(pair.client, connection) == "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    tcp_fasttmr(); // the caller's delayed acknowledgement
+    run(pair, leaving);
+    leaving.transfer.poll(leaving.now);
+    CHECK(leaving.sent.size() == 1);
+}
+
+// Guards against a flow that is cut because no host takes it: the caller is told by FIN, after what it sent was run.
+TEST_CASE("a flow that every host refuses ends after the requests that have arrived")
+{
+    Handover test;
+    test.pair.client.write(test.connection, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    run(test.pair, test.leaving);
+    test.next.admission.startDraining();
+    test.third.admission.startDraining();
+    test.leaving.transfer.poll(test.leaving.now);
+    Party& first = test.asked();
+    Party& second = &first == &test.next ? test.third : test.next;
+    for (Party* party : { &first, &second }) {
+        test.leaving.sendTo(*party);
+        party->sendTo(test.leaving);
+    }
+    REQUIRE(test.leaving.submitted.size() == 1);
+    test.leaving.edge.brokerEvent(test.leaving.now, AnswerStart { 1, { 200, {}, BodyFraming::ContentLength, 0 } });
+    test.leaving.edge.brokerEvent(test.leaving.now, AnswerFinish { 1, true });
+    run(test.pair, test.leaving);
+    CHECK(TcpPair::take(test.pair.client, test.connection).ends_with("Connection: close\r\n\r\n"));
+    CHECK(test.pair.count<TcpPeerClosed>(test.pair.clientEvents) == 1);
+    CHECK(test.pair.count<TcpEnded>(test.pair.clientEvents) == 0);
+}
+
+// Guards against two owners after a lost answer: the repeated message is answered again, a withdrawal is obeyed.
+TEST_CASE("a repeated handover is accepted once, and a withdrawn flow is forgotten")
+{
+    Handover test;
+    test.leaving.transfer.poll(test.leaving.now);
+    Party& taker = test.asked();
+    test.leaving.sendTo(taker);
+    taker.sent.clear();
+    test.leaving.transfer.poll(test.leaving.now + 600ms);
+    test.leaving.sendTo(taker);
+    REQUIRE(taker.sent.size() == 1);
+    CHECK(taker.sent.front().handover_answer().accepted());
+    CHECK(taker.flows.size() == 1);
+    taker.sent.clear();
+    test.pair.toClient.clear();
+    test.leaving.transfer.poll(test.leaving.now + 6s);
+    REQUIRE(test.leaving.sent.size() == 2); // the second one is for the next host
+    test.leaving.sent.resize(1);
+    test.leaving.sendTo(taker);
+    CHECK(taker.flows.size() == 0);
+    CHECK(taker.edge.connectionCount() == 0);
+    CHECK(test.pair.toClient.empty());
+}
--- /dev/null
+++ b/test/unit/HandoverAsksHostsInRankOrder.cpp
@@ -0,0 +1,90 @@
+#include "AdmissionFixture.h"
+#include "coordination/FlowHandover.h"
+
+#include <doctest/doctest.h>
+
+using namespace chicoryferry;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct HandoverFixture {
+    HandoverFixture() { this->handover.viewChanged(AdmissionFixture::makeView(5)); }
+
+    static const SendHandover& sent(const HandoverActions& actions, std::size_t index = 0)
+    {
+        REQUIRE(actions.size() > index);
+        REQUIRE(std::holds_alternative<SendHandover>(actions[index]));
+        return std::get<SendHandover>(actions[index]);
+    }
+
+    // The agent at a peer address of the fixture's view.
+    static PeerIdentity at(const Endpoint& peerAddress)
+    {
+        const auto number = static_cast<std::uint64_t>(peerAddress.port - 8000);
+        return { "a-" + std::to_string(number), number };
+    }
+
+    FlowHandover handover { "a-1" };
+    FlowKey key { parseEndpoint("10.9.0.1:40000"), parseEndpoint("10.1.0.1:80") };
+    FlowHandover::TimePoint start { 1000s };
+};
+
+}
+
+// Guards promise P1: the flow must arrive where balancers send its packets once the leaving host is gone.
+TEST_CASE("the first host asked is the owner of new flows without the leaving host")
+{
+    for (std::uint16_t port = 1; port <= 50; ++port) {
+        HandoverFixture fixture;
+        fixture.key.caller.port = port;
+        PacketRouter router(AdmissionFixture::makeView(6, "draining"));
+        PacketView packet;
+        packet.source = fixture.key.caller;
+        packet.destination = fixture.key.service;
+        wire::EnvelopeHeader header;
+        const auto owner = std::get<Endpoint>(router.route(packet, header));
+        const auto actions = fixture.handover.offer(fixture.start, fixture.key);
+        CHECK(HandoverFixture::sent(actions).peerAddress.port - 8000 == owner.port - 7000);
+    }
+}
+
+// Guards against a flow that two hosts own, or none.
+TEST_CASE("a flow leaves only when the host that is asked accepts")
+{
+    HandoverFixture fixture;
+    const SendHandover first = HandoverFixture::sent(fixture.handover.offer(fixture.start, fixture.key));
+    CHECK(fixture.handover.offer(fixture.start, fixture.key).empty());
+    const PeerIdentity host = HandoverFixture::at(first.peerAddress);
+    CHECK(fixture.handover.answered(fixture.start, { "a-1", 1 }, first.handover, true).empty());
+    CHECK(fixture.handover.answered(fixture.start, { host.instance, host.incarnation + 9 }, first.handover, true)
+              .empty());
+    CHECK(fixture.handover.answered(fixture.start, host, first.handover + 1, true).empty());
+    const auto done = fixture.handover.answered(fixture.start, host, first.handover, true);
+    REQUIRE(done.size() == 1);
+    CHECK(std::holds_alternative<FlowHandedOver>(done.front()));
+    CHECK(fixture.handover.pendingCount() == 0);
+}
+
+// Guards against a flow that stays frozen because a message was lost or a host is gone.
+TEST_CASE("an unanswered handover is repeated, then withdrawn and offered to the next host")
+{
+    HandoverFixture fixture;
+    const SendHandover first = HandoverFixture::sent(fixture.handover.offer(fixture.start, fixture.key));
+    CHECK(fixture.handover.tick(fixture.start + 499ms).empty());
+    const SendHandover repeated = HandoverFixture::sent(fixture.handover.tick(fixture.start + 500ms));
+    CHECK(repeated.handover == first.handover);
+    const auto next = fixture.handover.tick(fixture.start + 5s);
+    CHECK(HandoverFixture::sent(next, 0).withdrawn);
+    CHECK(HandoverFixture::sent(next, 0).handover == first.handover);
+    const SendHandover second = HandoverFixture::sent(next, 1);
+    CHECK(second.peerAddress != first.peerAddress);
+    // A late answer of the first host, which is told to forget the flow, no longer counts.
+    CHECK(
+        fixture.handover.answered(fixture.start, HandoverFixture::at(first.peerAddress), first.handover, true).empty());
+    const auto refused
+        = fixture.handover.answered(fixture.start, HandoverFixture::at(second.peerAddress), second.handover, false);
+    REQUIRE(refused.size() == 1);
+    CHECK(std::holds_alternative<KeepFlow>(refused.front()));
+    CHECK(fixture.handover.pendingCount() == 0);
+}
