End lost uploads by the bound on silence, and test faults between agents

A lost RequestBody message left the request waiting until its deadline: the holder took the missing credit for a slow caller. It now waits without a bound only while the caller may send.

--- a/src/app/RequestBodyBuffer.cpp
+++ b/src/app/RequestBodyBuffer.cpp
@@ -9,7 +9,7 @@
 {
 }
 
-bool RequestBodyBuffer::append(std::string data, bool last)
+bool RequestBodyBuffer::append(const std::string& data, bool last)
 {
     if (this->complete || this->receivedBytes + data.size() > this->creditGiven) {
         return false;
--- a/src/app/RequestBodyBuffer.h
+++ b/src/app/RequestBodyBuffer.h
@@ -17,7 +17,7 @@
 
     // Bytes from the edge; last: the body is complete. Returns false, taking nothing, after the end of the body or
     // beyond the credit given.
-    bool append(std::string data, bool last);
+    bool append(const std::string& data, bool last);
 
     bool isComplete() const { return this->complete; }
     std::uint64_t received() const { return this->receivedBytes; }
@@ -36,6 +36,12 @@
     std::uint64_t sent() const { return this->sentBytes; }
     bool everythingSent() const { return this->sentBytes == this->receivedBytes; }
 
+    // True when the run has all that has come, and the edge may send more.
+    bool waitsForCaller() const
+    {
+        return !this->complete && this->everythingSent() && this->receivedBytes < this->creditGiven;
+    }
+
     // The run has taken this many more bytes.
     void taken(std::size_t bytes);
 
--- a/src/app/RequestBroker.cpp
+++ b/src/app/RequestBroker.cpp
@@ -69,7 +69,7 @@
 
     void viewChanged(TimePoint, std::shared_ptr<const ConfigurationView>, bool historyComplete);
     std::uint64_t submit(TimePoint, const std::string& service, const Endpoint& caller, HttpRequestHead);
-    void requestBody(TimePoint, std::uint64_t request, std::string data, bool last);
+    void requestBody(TimePoint, std::uint64_t request, const std::string& data, bool last);
     void answerConsumed(TimePoint, std::uint64_t request, std::size_t bytes);
     void cancel(TimePoint, std::uint64_t request);
     void messageReceived(TimePoint, const wire::PeerMessage&);
@@ -323,13 +323,14 @@
     }
 }
 
-void RequestBroker::Implementation::requestBody(TimePoint now, std::uint64_t identifier, std::string data, bool last)
+void RequestBroker::Implementation::requestBody(
+    TimePoint now, std::uint64_t identifier, const std::string& data, bool last)
 {
     CallerRequest* request = this->find(identifier);
     if (request == nullptr || request->callerDone) {
         return; // refused meanwhile
     }
-    if (!request->body.append(std::move(data), last)) {
+    if (!request->body.append(data, last)) {
         const RunOutcome outcome = request->placed ? RunOutcome::Unknown : RunOutcome::NotRun;
         this->abandon(now, *request, 500, outcome, "body_over_credit");
     } else if (request->placed) {
@@ -1012,8 +1013,7 @@
     if (!request.attempt || request.attempt->backendRun || now - request.attempt->lastHeard <= this->peerSilence) {
         return false;
     }
-    const bool waitsForCallerBody = !request.body.isComplete() && request.body.everythingSent();
-    return !waitsForCallerBody && !request.answer->isBlockedByReaders();
+    return !request.body.waitsForCaller() && !request.answer->isBlockedByReaders();
 }
 
 void RequestBroker::Implementation::checkRequests(TimePoint now)
@@ -1104,7 +1104,7 @@
 
 void RequestBroker::requestBody(TimePoint now, std::uint64_t request, std::string data, bool last)
 {
-    this->implementation->requestBody(now, request, std::move(data), last);
+    this->implementation->requestBody(now, request, data, last);
 }
 
 void RequestBroker::answerConsumed(TimePoint now, std::uint64_t request, std::size_t bytes)
--- /dev/null
+++ b/test/unit/LostMessagesEndInVisibleFailure.cpp
@@ -0,0 +1,110 @@
+#include "BrokerNetwork.h"
+#include "EchoScript.h"
+
+#include <doctest/doctest.h>
+
+using namespace chicoryferry;
+
+namespace {
+
+using Filter = std::function<bool(const wire::PeerMessage&)>;
+
+// Runs a request beside a peer while messages that the filter matches are lost.
+struct LossyPair {
+    RunCounts runs;
+    BrokerNetwork network { { silentScript(), echoScript(runs, true) }, 1 };
+    std::uint64_t request { 0 };
+
+    LossyPair(const std::string& target, const std::string& body, const Filter& lost)
+    {
+        this->network.agents[0].broker->startDraining(this->network.now());
+        this->network.transfer = [lost](BrokerNetwork::Message message) {
+            std::vector<BrokerNetwork::Message> sent;
+            if (!lost(message.content)) {
+                sent.push_back(std::move(message));
+            }
+            return sent;
+        };
+        this->request = this->network.submit(0, body.empty() ? "GET" : "POST", target, body);
+    }
+
+    const CallerRecord& run()
+    {
+        REQUIRE(this->network.runToEnd(0, this->request));
+        return this->network.caller(0, this->request);
+    }
+};
+
+}
+
+// Guards P3: with chunked answers only the length in the end message tells that the last part was lost.
+TEST_CASE("a lost part of an answer ends as truncated")
+{
+    for (const std::uint64_t lostOffset : { std::uint64_t { 0 }, std::uint64_t { 1 } }) {
+        LossyPair pair("/drawing/1/200000", "", [lostOffset](const wire::PeerMessage& message) {
+            return message.has_answer_body() && message.answer_body().offset() >= lostOffset;
+        });
+        CHECK(pair.run().complete == false);
+        CHECK(pair.network.drops(0, "answer_gap") == 1);
+    }
+}
+
+// Guards P3 and P4: without its head an answer is worth nothing, and the request was run.
+TEST_CASE("a lost head of an answer ends as unknown")
+{
+    LossyPair pair("/layout/1/100", "", [](const wire::PeerMessage& message) { return message.has_answer_head(); });
+    const CallerRecord& caller = pair.run();
+    CHECK(caller.complete == true);
+    CHECK(caller.header("Chicoryferry-Outcome") == "unknown");
+    CHECK(caller.header("Chicoryferry-Reason") == "answer_gap");
+    CHECK(pair.runs["/layout/1/100"] == 1);
+}
+
+// Guards P9 and P4: the holder must notice that nothing comes, and must not call a granted request not run.
+TEST_CASE("a peer from which nothing is heard after the grant ends as unknown")
+{
+    LossyPair pair("/layout/1/100", "", [](const wire::PeerMessage& message) {
+        return message.has_answer_head() || message.has_answer_body() || message.has_answer_end();
+    });
+    const auto start = std::chrono::steady_clock::now();
+    const CallerRecord& caller = pair.run();
+    CHECK(std::chrono::steady_clock::now() - start >= std::chrono::milliseconds(1300));
+    CHECK(caller.header("Chicoryferry-Outcome") == "unknown");
+    CHECK(caller.header("Chicoryferry-Reason") == "peer_silence");
+    CHECK(pair.network.drops(0, "peer_silence") == 1);
+}
+
+// Guards P5: a request body with a missing part must not reach the backend server as a whole, and must not wait for
+// good.
+TEST_CASE("a lost part of a request body ends as unknown, and the request is not run as a whole")
+{
+    bool lost = false;
+    LossyPair pair("/corrections/1/10", std::string(300000, 'c'), [&lost](const wire::PeerMessage& message) {
+        const bool loses = message.has_request_body() && !lost;
+        lost = lost || loses;
+        return loses;
+    });
+    const CallerRecord& caller = pair.run();
+    CHECK(caller.header("Chicoryferry-Outcome") == "unknown");
+    CHECK(caller.header("Chicoryferry-Reason") == "peer_silence");
+    CHECK(pair.runs.empty());
+    CHECK(pair.network.runUntilTrue([&] { return pair.network.agents[1].broker->requestsInFlight() == 0; }));
+}
+
+// Guards P5: parts of a request body must not be joined across a gap.
+TEST_CASE("a part of a request body behind a gap ends the run as unknown")
+{
+    LossyPair pair("/corrections/1/10", std::string(300000, 'c'), [](const wire::PeerMessage&) { return false; });
+    pair.network.transfer = [](BrokerNetwork::Message message) {
+        if (message.content.has_request_body()) {
+            wire::RequestBody& body = *message.content.mutable_request_body();
+            body.set_offset(body.offset() + 1);
+        }
+        return std::vector<BrokerNetwork::Message> { std::move(message) };
+    };
+    const CallerRecord& caller = pair.run();
+    CHECK(caller.header("Chicoryferry-Outcome") == "unknown");
+    CHECK(caller.header("Chicoryferry-Reason") == "request_body_gap");
+    CHECK(pair.network.drops(1, "request_body_gap") == 1);
+    CHECK(pair.runs.empty());
+}
--- a/test/unit/ScriptedBackend.cpp
+++ b/test/unit/ScriptedBackend.cpp
@@ -30,7 +30,7 @@
 
 }
 
-void ScriptedBackend::Connection::send(std::string bytes) { this->outgoing += bytes; }
+void ScriptedBackend::Connection::send(const std::string& bytes) { this->outgoing += bytes; }
 
 ScriptedBackend::ScriptedBackend(EventLoop& loop, Script behaviour)
     : eventLoop(loop)
--- a/test/unit/ScriptedBackend.h
+++ b/test/unit/ScriptedBackend.h
@@ -21,7 +21,7 @@
         bool clientClosed { false };
 
         // Queues bytes; they are sent as the client reads.
-        void send(std::string bytes);
+        void send(const std::string& bytes);
         // Closes after the queued bytes were sent.
         void close() { this->closing = true; }
         // Closes at once with a TCP reset.
