--- a/src/coordination/RequestHolder.cpp
+++ b/src/coordination/RequestHolder.cpp
@@ -555,7 +555,7 @@
     this->refuse(now, *held, "placement", refusal(503, RunOutcome::NotRun, "deadline_unreachable", shortRetryAfter));
 }
 
-void RequestHolder::tick(TimePoint now)
+void RequestHolder::checkSilentClaimers(TimePoint now)
 {
     const auto isSilent = [&](const PeerIdentity& peer) {
         const PeerState* state = this->context.peers.find(peer.instance);
@@ -566,6 +566,10 @@
         this->cancelGrant(held, "claimer_silent");
         this->attemptUnknown(now, held, "claimer_silent");
     }
+}
+
+void RequestHolder::tick(TimePoint now)
+{
     for (const std::uint64_t request : this->book.hopeless(now)) {
         this->refuseLate(now, request);
     }
--- a/src/coordination/RequestHolder.h
+++ b/src/coordination/RequestHolder.h
@@ -53,6 +53,9 @@
     void offerToPeers(TimePoint);
 
     void tick(TimePoint);
+
+    // Gives up the requests granted to peers that fell silent. Visits every request held.
+    void checkSilentClaimers(TimePoint);
     TimePoint nextTimeout() const;
 
     std::size_t waitingCount() const { return this->book.waitingCount(); }
--- a/src/coordination/RequestPlacement.cpp
+++ b/src/coordination/RequestPlacement.cpp
@@ -296,11 +296,12 @@
 void RequestPlacement::Implementation::tick(TimePoint now)
 {
     this->context.peers.tick(now);
-    this->dropSilentHolders(now);
     this->slots.tick(now);
     this->holder.tick(now);
     this->deliver(now, this->keys.tick(now));
     if (now >= this->nextHeartbeat) {
+        this->dropSilentHolders(now);
+        this->holder.checkSilentClaimers(now);
         this->sendHeartbeats(now);
     }
 }
--- a/src/coordination/SlotScheduler.cpp
+++ b/src/coordination/SlotScheduler.cpp
@@ -1,7 +1,6 @@
 #include "coordination/SlotScheduler.h"
 
 #include <algorithm>
-#include <set>
 #include <xxhash.h>
 
 namespace chicoryferry {
@@ -10,6 +9,7 @@
 
 // Holders renew offers every 250 ms; four missed renewals mean that the holder is gone.
 constexpr std::chrono::milliseconds offerLifetime { 1000 };
+constexpr std::chrono::milliseconds sweepInterval { 100 };
 
 // Time for which an ended claim is remembered to tell a repeated grant from an unknown one.
 constexpr std::chrono::seconds claimMemory { 30 };
@@ -52,43 +52,71 @@
 void SlotScheduler::setClaiming(bool value)
 {
     this->claiming = value;
-    if (value) {
-        return;
+    if (!value) {
+        this->giveUpClaims([](const ActiveClaim&) { return true; });
     }
-    for (auto& [claim, record] : this->claims) {
-        if (record.state == ClaimState::Outstanding) {
-            this->release(record, ClaimState::GivenUp);
+}
+
+std::set<SlotScheduler::Urgency>& SlotScheduler::openQueue(const KnownOffer& offer)
+{
+    return offer.longRunning ? this->openLong : this->openShort;
+}
+
+void SlotScheduler::offerReceived(TimePoint now, const KnownOffer& offer)
+{
+    this->latest = std::max(this->latest, now);
+    const auto [entry, added] = this->offers.try_emplace(offer.key, Offer { offer, now, now });
+    Offer& known = entry->second;
+    if (!added) {
+        known.renewed = now;
+        if (known.offer.longRunning == offer.longRunning && latestStart(known.offer) == latestStart(offer)) {
+            return;
         }
+        this->openQueue(known.offer).erase({ latestStart(known.offer), offer.key });
+        known.offer = offer;
+    }
+    if (!known.claimed) {
+        this->openQueue(offer).insert({ latestStart(offer), offer.key });
     }
 }
 
-void SlotScheduler::offerReceived(TimePoint now, const KnownOffer& offer)
+SlotScheduler::OfferIterator SlotScheduler::eraseOffer(OfferIterator offer)
 {
-    const auto found = this->offers.find(offer.key);
-    if (found == this->offers.end()) {
-        this->offers.emplace(offer.key, Offer { offer, now, now });
-        return;
+    this->openQueue(offer->second.offer).erase({ latestStart(offer->second.offer), offer->first });
+    return this->offers.erase(offer);
+}
+
+void SlotScheduler::offerWithdrawn(const OfferKey& key)
+{
+    const auto found = this->offers.find(key);
+    if (found != this->offers.end()) {
+        this->eraseOffer(found);
     }
-    found->second.offer = offer;
-    found->second.renewed = now;
 }
 
-void SlotScheduler::offerWithdrawn(const OfferKey& key) { this->offers.erase(key); }
+void SlotScheduler::giveUpClaims(const std::function<bool(const ActiveClaim&)>& concerned)
+{
+    for (auto claim = this->active.begin(); claim != this->active.end();) {
+        const bool givenUp = !claim->second.running && concerned(claim->second);
+        claim = givenUp ? this->release(claim) : std::next(claim);
+    }
+}
 
 std::vector<SlotClaim> SlotScheduler::holderGone(const PeerIdentity& holder)
 {
     std::vector<SlotClaim> stopped;
-    std::erase_if(this->offers, [&](const auto& entry) { return entry.first.holder == holder; });
-    for (auto& [claim, record] : this->claims) {
-        if (record.key.holder != holder) {
+    for (auto offer = this->offers.begin(); offer != this->offers.end();) {
+        offer = offer->first.holder == holder ? this->eraseOffer(offer) : std::next(offer);
+    }
+    for (auto claim = this->active.begin(); claim != this->active.end();) {
+        if (claim->second.key.holder != holder) {
+            ++claim;
             continue;
         }
-        if (record.state == ClaimState::Outstanding) {
-            this->release(record, ClaimState::GivenUp);
-        } else if (record.state == ClaimState::Running) {
-            stopped.push_back({ record.key, claim });
-            this->release(record, ClaimState::Ended);
+        if (claim->second.running) {
+            stopped.push_back({ claim->second.key, claim->first });
         }
+        claim = this->release(claim);
     }
     return stopped;
 }
@@ -99,7 +127,7 @@
     for (const auto& [key, offer] : this->offers) {
         known.insert(key.holder);
     }
-    for (const auto& [claim, record] : this->claims) {
+    for (const auto& [claim, record] : this->active) {
         known.insert(record.key.holder);
     }
     known.erase(this->self);
@@ -108,18 +136,18 @@
 
 void SlotScheduler::keepService(const std::string& service)
 {
-    for (auto& [claim, record] : this->claims) {
-        const auto offer = this->offers.find(record.key);
-        const bool kept = offer != this->offers.end() && offer->second.offer.service == service;
-        if (!kept && record.state == ClaimState::Outstanding) {
-            this->release(record, ClaimState::GivenUp);
-        }
+    this->giveUpClaims([&](const ActiveClaim& claim) {
+        const auto offer = this->offers.find(claim.key);
+        return offer == this->offers.end() || offer->second.offer.service != service;
+    });
+    for (auto offer = this->offers.begin(); offer != this->offers.end();) {
+        offer = offer->second.offer.service != service ? this->eraseOffer(offer) : std::next(offer);
     }
-    std::erase_if(this->offers, [&](const auto& entry) { return entry.second.offer.service != service; });
 }
 
 std::vector<SlotClaim> SlotScheduler::claimOffers(TimePoint now)
 {
+    this->latest = std::max(this->latest, now);
     std::vector<SlotClaim> made;
     while (this->claiming && this->freeSlots() > 0 && now >= this->pausedUntil) {
         const std::optional<OfferKey> best = this->bestOffer(now);
@@ -131,122 +159,120 @@
     return made;
 }
 
-std::optional<OfferKey> SlotScheduler::bestOffer(TimePoint now) const
+const SlotScheduler::Offer* SlotScheduler::firstOpen(TimePoint now, const std::set<Urgency>& queue) const
 {
-    const Offer* best = nullptr;
-    const Offer* bestShort = nullptr;
-    for (const auto& [key, offer] : this->offers) {
-        if (offer.claimed || offer.notBefore > now || latestStart(offer.offer) < now) {
-            continue;
-        }
-        if (best == nullptr || latestStart(offer.offer) < latestStart(best->offer)) {
-            best = &offer;
-        }
-        const bool isShort = !offer.offer.longRunning;
-        if (isShort && (bestShort == nullptr || latestStart(offer.offer) < latestStart(bestShort->offer))) {
-            bestShort = &offer;
+    for (const auto& [start, key] : queue) {
+        const Offer& offer = this->offers.at(key);
+        if (start >= now && offer.notBefore <= now) {
+            return &offer;
         }
     }
+    return nullptr;
+}
+
+std::optional<OfferKey> SlotScheduler::bestOffer(TimePoint now) const
+{
+    const Offer* bestShort = this->firstOpen(now, this->openShort);
+    const Offer* bestLong = this->firstOpen(now, this->openLong);
     // The last slot is left to short requests while any wait, so that they do not queue behind long ones.
     const bool longFull = this->longRuns + 1 >= this->usableSlots();
-    if (best != nullptr && best->offer.longRunning && longFull && bestShort != nullptr) {
-        best = bestShort;
+    if (bestShort != nullptr
+        && (bestLong == nullptr || longFull || latestStart(bestShort->offer) <= latestStart(bestLong->offer))) {
+        return bestShort->offer.key;
     }
-    return best == nullptr ? std::nullopt : std::optional(best->offer.key);
+    return bestLong == nullptr ? std::nullopt : std::optional(bestLong->offer.key);
 }
 
 std::uint64_t SlotScheduler::startClaim(TimePoint now, Offer& offer)
 {
     const std::uint64_t claim = this->nextClaim++;
     offer.claimed = true;
-    this->claims.emplace(
-        claim, ClaimRecord { offer.offer.key, now, ClaimState::Outstanding, offer.offer.longRunning, {} });
-    ++this->occupied;
-    ++this->outstanding;
+    this->openQueue(offer.offer).erase({ latestStart(offer.offer), offer.offer.key });
+    this->active.emplace(claim, ActiveClaim { offer.offer.key, now, false, offer.offer.longRunning });
     this->longRuns += offer.offer.longRunning ? 1 : 0;
     return claim;
 }
 
-void SlotScheduler::release(ClaimRecord& record, ClaimState state)
+SlotScheduler::ActiveIterator SlotScheduler::release(ActiveIterator claim)
 {
-    --this->occupied;
-    this->outstanding -= record.state == ClaimState::Outstanding ? 1 : 0;
-    this->longRuns -= record.longRunning ? 1 : 0;
-    record.state = state;
-    record.forgetAt = record.claimed + claimMemory;
-    const auto offer = this->offers.find(record.key);
-    if (offer != this->offers.end()) {
+    const ActiveClaim& ended = claim->second;
+    this->longRuns -= ended.longRunning ? 1 : 0;
+    this->past.emplace(claim->first, PastClaim { ended.key, ended.claimed, ended.running });
+    this->forgetting.emplace_back(this->latest + claimMemory, claim->first);
+    const auto offer = this->offers.find(ended.key);
+    if (offer != this->offers.end() && !ended.running) {
         offer->second.claimed = false;
+        this->openQueue(offer->second.offer).insert({ latestStart(offer->second.offer), ended.key });
     }
+    return this->active.erase(claim);
 }
 
-SlotScheduler::ClaimIterator SlotScheduler::findClaim(const OfferKey& key, std::uint64_t claim)
+SlotScheduler::ActiveIterator SlotScheduler::findActive(const OfferKey& key, std::uint64_t claim)
 {
-    const auto found = this->claims.find(claim);
-    return found != this->claims.end() && found->second.key == key ? found : this->claims.end();
+    const auto found = this->active.find(claim);
+    return found != this->active.end() && found->second.key == key ? found : this->active.end();
 }
 
 GrantVerdict SlotScheduler::grantReceived(TimePoint now, const OfferKey& key, std::uint64_t claim)
 {
-    const auto found = this->findClaim(key, claim);
-    if (found == this->claims.end()) {
-        return GrantVerdict::Ignore;
+    this->latest = std::max(this->latest, now);
+    const auto found = this->findActive(key, claim);
+    if (found == this->active.end()) {
+        const auto ended = this->past.find(claim);
+        if (ended == this->past.end() || ended->second.key != key || ended->second.ran) {
+            return GrantVerdict::Ignore;
+        }
+        return now - ended->second.claimed > grantValidity ? GrantVerdict::Expired : GrantVerdict::Withdrawn;
     }
-    ClaimRecord& record = found->second;
-    if (record.state == ClaimState::Running || record.state == ClaimState::Ended) {
+    if (found->second.running) {
         return GrantVerdict::Ignore;
     }
-    const bool expired = now - record.claimed > grantValidity;
-    if (record.state == ClaimState::GivenUp) {
-        return expired ? GrantVerdict::Expired : GrantVerdict::Withdrawn;
-    }
-    if (expired) {
-        this->release(record, ClaimState::GivenUp);
+    if (now - found->second.claimed > grantValidity) {
+        this->release(found);
         return GrantVerdict::Expired;
     }
-    record.state = ClaimState::Running;
-    --this->outstanding;
-    this->offers.erase(key);
+    found->second.running = true;
+    this->offerWithdrawn(key);
     return GrantVerdict::Run;
 }
 
-void SlotScheduler::claimRejected(TimePoint now, const OfferKey& key, std::uint64_t claim)
+void SlotScheduler::rest(TimePoint now, const OfferKey& key)
 {
-    const auto found = this->findClaim(key, claim);
-    if (found == this->claims.end() || found->second.state != ClaimState::Outstanding) {
-        return;
-    }
-    this->release(found->second, ClaimState::GivenUp);
     const auto offer = this->offers.find(key);
     if (offer != this->offers.end()) {
         offer->second.notBefore = now + rejectedRest;
     }
 }
 
+void SlotScheduler::claimRejected(TimePoint now, const OfferKey& key, std::uint64_t claim)
+{
+    const auto found = this->findActive(key, claim);
+    if (found != this->active.end() && !found->second.running) {
+        this->release(found);
+        this->rest(now, key);
+    }
+}
+
 bool SlotScheduler::cancel(const OfferKey& key, std::uint64_t claim)
 {
-    this->offers.erase(key);
-    const auto found = this->findClaim(key, claim);
-    if (found == this->claims.end()) {
+    this->offerWithdrawn(key);
+    const auto found = this->findActive(key, claim);
+    if (found == this->active.end()) {
         return false;
     }
-    const bool running = found->second.state == ClaimState::Running;
-    if (running) {
-        this->release(found->second, ClaimState::Ended);
-    } else if (found->second.state == ClaimState::Outstanding) {
-        this->release(found->second, ClaimState::GivenUp);
-    }
+    const bool running = found->second.running;
+    this->release(found);
     return running;
 }
 
 bool SlotScheduler::runEnded(TimePoint now, const OfferKey& key, std::uint64_t claim)
 {
-    const auto found = this->findClaim(key, claim);
-    if (found == this->claims.end() || found->second.state != ClaimState::Running) {
+    this->latest = std::max(this->latest, now);
+    const auto found = this->findActive(key, claim);
+    if (found == this->active.end() || !found->second.running) {
         return false;
     }
-    this->release(found->second, ClaimState::Ended);
-    found->second.forgetAt = now + claimMemory;
+    this->release(found);
     if (this->failureLimit > 0 && now >= this->pausedUntil) {
         ++this->failureLimit;
         if (this->failureLimit >= this->slots) {
@@ -259,38 +285,47 @@
 
 void SlotScheduler::tick(TimePoint now)
 {
-    for (auto& [claim, record] : this->claims) {
-        if (record.state == ClaimState::Outstanding && now - record.claimed > grantValidity) {
-            this->release(record, ClaimState::GivenUp);
-            const auto offer = this->offers.find(record.key);
-            if (offer != this->offers.end()) {
-                offer->second.notBefore = now + rejectedRest;
-            }
+    this->latest = std::max(this->latest, now);
+    for (auto claim = this->active.begin(); claim != this->active.end();) {
+        if (claim->second.running || now - claim->second.claimed <= grantValidity) {
+            ++claim;
+            continue;
         }
+        const OfferKey key = claim->second.key;
+        claim = this->release(claim);
+        this->rest(now, key);
+    }
+    if (now < this->nextSweep) {
+        return;
+    }
+    this->nextSweep = now + sweepInterval;
+    while (!this->forgetting.empty() && this->forgetting.front().first <= now) {
+        this->past.erase(this->forgetting.front().second);
+        this->forgetting.pop_front();
+    }
+    for (auto offer = this->offers.begin(); offer != this->offers.end();) {
+        const bool lapsed = offer->first.holder != this->self && now - offer->second.renewed > offerLifetime;
+        offer = lapsed || offer->second.offer.deadline < now ? this->eraseOffer(offer) : std::next(offer);
     }
-    std::erase_if(this->claims, [now](const auto& entry) {
-        const ClaimRecord& record = entry.second;
-        const bool over = record.state == ClaimState::GivenUp || record.state == ClaimState::Ended;
-        return over && record.forgetAt <= now;
-    });
-    std::erase_if(this->offers, [&](const auto& entry) {
-        const Offer& offer = entry.second;
-        const bool lapsed = entry.first.holder != this->self && now - offer.renewed > offerLifetime;
-        return lapsed || offer.offer.deadline < now;
-    });
 }
 
 SlotScheduler::TimePoint SlotScheduler::nextTimeout() const
 {
     TimePoint next = TimePoint::max();
-    for (const auto& [claim, record] : this->claims) {
-        if (record.state == ClaimState::Outstanding) {
+    for (const auto& [claim, record] : this->active) {
+        if (!record.running) {
             next = std::min(next, record.claimed + grantValidity + std::chrono::milliseconds(1));
         }
     }
     return next;
 }
 
+std::size_t SlotScheduler::runCount() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        this->active.begin(), this->active.end(), [](const auto& claim) { return claim.second.running; }));
+}
+
 unsigned SlotScheduler::usableSlots() const
 {
     return this->failureLimit > 0 ? std::min(this->failureLimit, this->slots) : this->slots;
@@ -299,7 +334,8 @@
 unsigned SlotScheduler::freeSlots() const
 {
     const unsigned usable = this->usableSlots();
-    return usable > this->occupied ? usable - this->occupied : 0;
+    const auto occupied = static_cast<unsigned>(this->active.size());
+    return usable > occupied ? usable - occupied : 0;
 }
 
 }
--- a/src/coordination/SlotScheduler.h
+++ b/src/coordination/SlotScheduler.h
@@ -7,9 +7,13 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace chicoryferry {
@@ -99,16 +103,9 @@
     unsigned usableSlots() const;
     unsigned freeSlots() const;
     std::size_t offerCount() const { return this->offers.size(); }
-    std::size_t runCount() const { return this->occupied - this->outstanding; }
+    std::size_t runCount() const;
 
 private:
-    enum class ClaimState {
-        Outstanding,
-        GivenUp,
-        Running,
-        Ended,
-    };
-
     struct Offer {
         KnownOffer offer;
         TimePoint renewed;
@@ -116,33 +113,49 @@
         bool claimed { false };
     };
 
-    struct ClaimRecord {
+    struct ActiveClaim {
         OfferKey key;
         TimePoint claimed;
-        ClaimState state { ClaimState::Outstanding };
+        bool running { false };
         bool longRunning { false };
-        TimePoint forgetAt;
     };
 
-    using ClaimIterator = std::map<std::uint64_t, ClaimRecord>::iterator;
+    struct PastClaim {
+        OfferKey key;
+        TimePoint claimed;
+        bool ran { false };
+    };
+
+    using Urgency = std::pair<TimePoint, OfferKey>; // by latest start
+    using ActiveIterator = std::map<std::uint64_t, ActiveClaim>::iterator;
+    using OfferIterator = std::map<OfferKey, Offer>::iterator;
 
+    std::set<Urgency>& openQueue(const KnownOffer&);
+    const Offer* firstOpen(TimePoint, const std::set<Urgency>&) const;
     std::optional<OfferKey> bestOffer(TimePoint) const;
     std::uint64_t startClaim(TimePoint, Offer&);
-    void release(ClaimRecord&, ClaimState);
-    ClaimIterator findClaim(const OfferKey&, std::uint64_t claim);
+    ActiveIterator findActive(const OfferKey&, std::uint64_t claim);
+    ActiveIterator release(ActiveIterator);
+    void giveUpClaims(const std::function<bool(const ActiveClaim&)>& concerned);
+    OfferIterator eraseOffer(OfferIterator);
+    void rest(TimePoint, const OfferKey&);
 
     PeerIdentity self;
     std::uint64_t nextClaim;
     unsigned slots { 0 };
-    unsigned occupied { 0 }; // outstanding claims and runs
-    unsigned outstanding { 0 };
-    unsigned longRuns { 0 }; // outstanding claims and runs of long requests
+    unsigned longRuns { 0 }; // active claims of long requests
     unsigned failureLimit { 0 }; // usable slots after failures; 0: no limit
     TimePoint pausedUntil; // after failures
     std::chrono::milliseconds failurePause { 0 };
     bool claiming { true };
+    TimePoint latest; // newest time seen
+    TimePoint nextSweep;
     std::map<OfferKey, Offer> offers;
-    std::map<std::uint64_t, ClaimRecord> claims;
+    std::set<Urgency> openShort; // offers that are not claimed
+    std::set<Urgency> openLong;
+    std::map<std::uint64_t, ActiveClaim> active; // outstanding claims and runs: each holds a slot
+    std::map<std::uint64_t, PastClaim> past;
+    std::deque<std::pair<TimePoint, std::uint64_t>> forgetting; // past claims by the time at which they are forgotten
 };
 
 }
--- /dev/null
+++ b/test/unit/RandomNetworkKeepsPromises.cpp
@@ -0,0 +1,541 @@
+#include "coordination/RequestPlacement.h"
+#include "protocol/Configuration.h"
+#include "protocol/InstanceList.h"
+#include "state/ConfigurationView.h"
+#include "support/Metrics.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <rapidcheck.h>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace chicoryferry;
+using std::chrono::milliseconds;
+
+namespace {
+
+using TimePoint = std::chrono::steady_clock::time_point;
+
+// How hostile the network and the processes are, in events for each thousand.
+struct Hazards {
+    unsigned hosts { 3 };
+    unsigned slots { 2 };
+    unsigned loss { 0 }; // of messages
+    unsigned duplication { 0 };
+    unsigned longDelay { 0 }; // of up to 2 s; other messages take up to 5 ms
+    unsigned pauses { 0 }; // begin in a step of 10 ms
+    unsigned partitions { 0 };
+    unsigned restarts { 0 };
+    unsigned changes { 0 }; // of the configuration
+    unsigned failures { 0 }; // of runs
+    unsigned callersGone { 0 };
+    std::uint64_t seed { 0 };
+};
+
+struct Message {
+    PeerIdentity from;
+    PeerIdentity to;
+    wire::PeerMessage content;
+};
+
+struct Run {
+    std::string host;
+    PeerIdentity holder;
+    std::uint64_t request { 0 };
+    std::uint64_t claim { 0 };
+};
+
+struct Agent {
+    PeerIdentity identity;
+    std::unique_ptr<RequestPlacement> placement;
+    std::uint64_t version { 0 };
+    TimePoint pausedUntil;
+    bool drainingKnown { false };
+    std::set<std::uint64_t> running; // indices of runs that hold a slot
+    std::vector<std::uint64_t> held; // requests that have not ended
+};
+
+struct Outcome {
+    std::string key;
+    bool started { false };
+    bool refusedNotRun { false };
+    bool ended { false };
+    unsigned runs { 0 };
+};
+
+// A fleet of decision objects on one explicit clock. Events are ordered by time and then by insertion.
+class HostileFleet {
+public:
+    explicit HostileFleet(const Hazards& chosen)
+        : hazards(chosen)
+        , random(chosen.seed)
+    {
+        Configuration first;
+        first.version = 1;
+        first.retention = std::chrono::seconds(600);
+        Service service;
+        service.name = "job";
+        service.id = serviceId("job");
+        first.services.push_back(service);
+        first.callerGroups.push_back({ "benches", { { 0, 0 } } });
+        first.bindings.push_back({ "job", "benches", Selector() });
+        for (unsigned index = 0; index < this->hazards.hosts; ++index) {
+            Host host;
+            host.name = "host-" + std::to_string(index);
+            host.incarnation = 1;
+            host.slots = this->hazards.slots;
+            first.hosts.push_back(host);
+        }
+        this->versions.push_back(std::make_shared<Configuration>(first));
+        for (const Host& host : first.hosts) {
+            this->startAgent(host.name, 1);
+        }
+    }
+
+    void simulate()
+    {
+        for (int step = 0; step < 400; ++step) {
+            this->injectFaults();
+            this->bringRequests();
+            this->passTime();
+        }
+        // Every request ends once nothing new happens: within its deadline and the limits for silent peers.
+        this->calm = true;
+        for (int step = 0; step < 1500 && this->anyHeld(); ++step) {
+            this->passTime();
+        }
+    }
+
+    std::vector<std::string> violations;
+    std::size_t runCount { 0 };
+    std::map<std::string, std::size_t> refusals; // by reason
+    std::size_t requestCount() const { return this->outcomes.size(); }
+
+    void checkEnds()
+    {
+        for (const auto& [name, agent] : this->agents) {
+            for (const std::uint64_t request : agent.held) {
+                this->violate(fmt::format("request {} at {} did not end", request, name));
+            }
+        }
+        for (const auto& [request, outcome] : this->outcomes) {
+            if (outcome.refusedNotRun && outcome.started) {
+                this->violate(fmt::format("request {} was refused as not run, and ran", request));
+            }
+        }
+        for (const auto& [key, times] : this->runsOfKey) {
+            if (times > 1) {
+                this->violate(fmt::format("key {} ran {} times", key, times));
+            }
+        }
+    }
+
+private:
+    bool chance(unsigned inThousand) { return !this->calm && this->random() % 1000 < inThousand; }
+    unsigned below(unsigned limit) { return static_cast<unsigned>(this->random() % limit); }
+
+    void violate(const std::string& text) { this->violations.push_back(text); }
+
+    bool anyHeld() const
+    {
+        return std::any_of(
+            this->agents.begin(), this->agents.end(), [](const auto& entry) { return !entry.second.held.empty(); });
+    }
+
+    std::shared_ptr<const ConfigurationView> viewOf(std::uint64_t version) const
+    {
+        std::vector<std::shared_ptr<const Configuration>> history;
+        for (std::uint64_t earlier = version - 1; earlier >= 1; --earlier) {
+            history.push_back(this->versions[earlier - 1]);
+        }
+        return std::make_shared<ConfigurationView>(
+            this->versions[version - 1], std::make_shared<InstanceList>(), history);
+    }
+
+    void startAgent(const std::string& name, std::uint64_t incarnation)
+    {
+        Agent& agent = this->agents[name];
+        // The callers of a process that is replaced lose their connection: their requests end with it.
+        agent.held.clear();
+        agent.running.clear();
+        agent.identity = { name, incarnation };
+        agent.placement = std::make_unique<RequestPlacement>(agent.identity, this->metrics);
+        agent.pausedUntil = {};
+        agent.drainingKnown = false;
+        agent.version = 0;
+        this->publish(agent, this->versions.size());
+    }
+
+    void publish(Agent& agent, std::uint64_t version)
+    {
+        if (version <= agent.version) {
+            return;
+        }
+        agent.version = version;
+        for (const Host& host : this->versions[version - 1]->hosts) {
+            if (host.name == agent.identity.instance) {
+                agent.drainingKnown = host.state == HostState::Draining;
+            }
+        }
+        this->carryOut(agent, agent.placement->viewChanged(this->now, this->viewOf(version), true));
+    }
+
+    void injectFaults()
+    {
+        const auto victim = std::next(this->agents.begin(), this->below(this->hazards.hosts));
+        Agent& agent = victim->second;
+        if (this->chance(this->hazards.pauses)) {
+            agent.pausedUntil = this->now + milliseconds(this->below(3000));
+        }
+        if (this->chance(this->hazards.partitions)) {
+            this->separatedUntil[victim->first] = this->now + milliseconds(this->below(4000));
+        }
+        if (this->chance(this->hazards.restarts)) {
+            this->restart(agent);
+        }
+        if (this->chance(this->hazards.changes)) {
+            this->changeConfiguration();
+        }
+        for (auto& [name, other] : this->agents) {
+            if (other.version < this->versions.size() && this->below(100) < 5) {
+                this->publish(other, other.version + 1 + this->below(this->versions.size() - other.version));
+            }
+        }
+    }
+
+    void restart(Agent& agent)
+    {
+        const std::uint64_t incarnation = agent.identity.incarnation + 1;
+        const std::string name = agent.identity.instance;
+        Configuration next = *this->versions.back();
+        next.version = this->versions.size() + 1;
+        for (Host& host : next.hosts) {
+            if (host.name == name) {
+                host.incarnation = incarnation;
+            }
+        }
+        // The platform may notice the restart before or after the process is back.
+        if (this->below(2) == 0) {
+            this->versions.push_back(std::make_shared<Configuration>(next));
+            this->startAgent(name, incarnation);
+        } else {
+            this->startAgent(name, incarnation);
+            this->versions.push_back(std::make_shared<Configuration>(next));
+        }
+    }
+
+    void changeConfiguration()
+    {
+        Configuration next = *this->versions.back();
+        next.version = this->versions.size() + 1;
+        Host& host = next.hosts[this->below(this->hazards.hosts)];
+        const bool serving = host.labels.empty();
+        switch (this->below(3)) {
+        case 0:
+            host.state = host.state == HostState::Active ? HostState::Draining : HostState::Active;
+            break;
+        case 1:
+            host.slots = 1 + this->below(this->hazards.slots);
+            break;
+        default:
+            // A quarantined host serves no callers; its keys move to other coordinators.
+            host.labels = serving ? std::map<std::string, std::string> { { "quarantined", "" } }
+                                  : std::map<std::string, std::string> {};
+            break;
+        }
+        next.bindings[0].selector = Selector::parse("!quarantined");
+        this->versions.push_back(std::make_shared<Configuration>(next));
+    }
+
+    void bringRequests()
+    {
+        for (unsigned arrivals = this->below(3); arrivals > 0; --arrivals) {
+            Agent& agent = std::next(this->agents.begin(), this->below(this->hazards.hosts))->second;
+            if (agent.pausedUntil > this->now) {
+                continue;
+            }
+            const std::uint64_t request = this->nextRequest++;
+            RequestDescription description;
+            description.request = request;
+            description.service = "job";
+            description.callerGroup = "benches";
+            description.caller = { this->below(5), 1000 };
+            description.route.deadline = milliseconds(200 + this->below(3000));
+            if (this->below(2) == 0) {
+                description.method = "POST";
+                description.target = "/correction";
+                description.route.repeatable = false;
+                description.idempotencyKey = "key-" + std::to_string(this->below(1 + request / 3));
+                description.fingerprint = 7;
+            } else {
+                description.method = "GET";
+                description.route.path = this->below(10) == 0 ? "/drawing/" : "/layout/";
+                description.target = description.route.path + std::to_string(this->below(4));
+                description.route.shareable = this->below(2) == 0;
+            }
+            this->outcomes[request].key = description.idempotencyKey.value_or("");
+            agent.held.push_back(request);
+            this->carryOut(agent, agent.placement->requestArrived(this->now, description));
+        }
+    }
+
+    // 10 ms: messages and ends of runs in order, then a tick of every process that is not paused.
+    void passTime()
+    {
+        const TimePoint end = this->now + milliseconds(10);
+        while (!this->events.empty() && this->events.begin()->first <= end) {
+            auto event = this->events.begin();
+            this->now = std::max(this->now, event->first);
+            const std::function<void()> action = std::move(event->second);
+            this->events.erase(event);
+            action();
+        }
+        this->now = end;
+        for (auto& [name, agent] : this->agents) {
+            if (agent.pausedUntil > this->now) {
+                continue;
+            }
+            if (this->chance(this->hazards.callersGone) && !agent.held.empty()) {
+                const std::uint64_t request = agent.held[this->below(agent.held.size())];
+                std::erase(agent.held, request);
+                this->carryOut(agent, agent.placement->callerGone(this->now, request));
+            }
+            this->carryOut(agent, agent.placement->tick(this->now));
+        }
+    }
+
+    void schedule(TimePoint at, std::function<void()> action) { this->events.emplace(at, std::move(action)); }
+
+    bool isSeparated(const std::string& name) const
+    {
+        const auto found = this->separatedUntil.find(name);
+        return found != this->separatedUntil.end() && found->second > this->now;
+    }
+
+    void send(const Message& message)
+    {
+        if (this->chance(this->hazards.loss)) {
+            return;
+        }
+        const int copies = this->chance(this->hazards.duplication) ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy) {
+            const unsigned delay = this->chance(this->hazards.longDelay) ? this->below(2000) : this->below(5);
+            this->schedule(this->now + milliseconds(delay), [this, message] { this->deliver(message); });
+        }
+    }
+
+    void deliver(const Message& message)
+    {
+        Agent& agent = this->agents.at(message.to.instance);
+        if (this->isSeparated(message.to.instance) != this->isSeparated(message.from.instance)) {
+            return;
+        }
+        if (agent.pausedUntil > this->now) {
+            // Messages wait in the socket of a paused process.
+            this->schedule(agent.pausedUntil, [this, message] { this->deliver(message); });
+            return;
+        }
+        this->carryOut(agent, agent.placement->messageReceived(this->now, message.from, message.content));
+    }
+
+    void carryOut(Agent& agent, const PlacementActions& actions)
+    {
+        for (const PlacementAction& action : actions) {
+            std::visit([&](const auto& which) { this->carryOutOne(agent, which); }, action);
+        }
+    }
+
+    void carryOutOne(Agent& agent, const SendToPeer& action)
+    {
+        this->send({ agent.identity, action.peer, action.message });
+    }
+
+    void carryOutOne(Agent& agent, const GrantToPeer& action)
+    {
+        Message message { agent.identity, action.claimer, {} };
+        message.content.mutable_grant()->set_request(action.request);
+        message.content.mutable_grant()->set_claim(action.claim);
+        message.content.mutable_grant()->set_service("job");
+        this->send(message);
+    }
+
+    void carryOutOne(Agent& agent, const RunOwnRequest& action)
+    {
+        this->startRun(agent, agent.identity, action.request, action.claim);
+    }
+
+    void carryOutOne(Agent& agent, const RunPeerRequest& action)
+    {
+        this->startRun(agent, action.holder, action.request, action.claim);
+    }
+
+    void carryOutOne(Agent& agent, const CancelRun& action)
+    {
+        std::erase_if(agent.running, [&](std::uint64_t index) {
+            const Run& run = this->runs.at(index);
+            return run.holder == action.holder && run.request == action.request && run.claim == action.claim;
+        });
+    }
+
+    void carryOutOne(Agent& agent, const RefuseRequest& action)
+    {
+        Outcome& outcome = this->outcomes.at(action.request);
+        ++this->refusals[action.reason];
+        if (std::erase(agent.held, action.request) == 0) {
+            this->violate(fmt::format("request {} ended twice", action.request));
+        }
+        outcome.refusedNotRun = outcome.refusedNotRun || action.outcome == RunOutcome::NotRun;
+    }
+
+    void carryOutOne(Agent& agent, const ShareAnswer& action)
+    {
+        this->sharers[{ agent.identity, action.leader }].push_back(action.request);
+    }
+
+    void startRun(Agent& agent, const PeerIdentity& holder, std::uint64_t request, std::uint64_t claim)
+    {
+        if (agent.drainingKnown) {
+            this->violate(fmt::format("draining {} started request {}", agent.identity.instance, request));
+        }
+        const std::uint64_t index = this->runs.size();
+        this->runs[index] = { agent.identity.instance, holder, request, claim };
+        agent.running.insert(index);
+        ++this->runCount;
+        if (agent.running.size() > this->hazards.slots) {
+            this->violate(fmt::format("{} runs at once on {}", agent.running.size(), agent.identity.instance));
+        }
+        if (this->chance(this->hazards.failures) && this->below(2) == 0) {
+            // The backend server refuses the connection: the request did not reach it.
+            this->schedule(this->now, [this, index, name = agent.identity] {
+                this->endRun(index, name, { RunOutcome::NotRun, 0, "backend_refused" });
+            });
+            return;
+        }
+        Outcome& outcome = this->outcomes.at(request);
+        outcome.started = true;
+        if (!outcome.key.empty()) {
+            ++this->runsOfKey[outcome.key];
+        }
+        const bool fails = this->chance(this->hazards.failures);
+        const RunResult result = fails ? RunResult { RunOutcome::Unknown, 0, "backend_closed" }
+                                       : RunResult { RunOutcome::Completed, 200, "" };
+        this->schedule(this->now + milliseconds(5 + this->below(this->below(20) == 0 ? 1000 : 50)),
+            [this, index, name = agent.identity, result] { this->endRun(index, name, result); });
+    }
+
+    void endRun(std::uint64_t index, const PeerIdentity& host, const RunResult& result)
+    {
+        Agent& agent = this->agents.at(host.instance);
+        if (agent.identity != host || !agent.running.contains(index)) {
+            return;
+        }
+        if (agent.pausedUntil > this->now) {
+            this->schedule(agent.pausedUntil, [this, index, host, result] { this->endRun(index, host, result); });
+            return;
+        }
+        agent.running.erase(index);
+        const Run run = this->runs.at(index);
+        if (run.holder == agent.identity) {
+            this->reportEnd(run, result);
+            return;
+        }
+        this->carryOut(agent, agent.placement->peerRunEnded(this->now, run.holder, run.request, run.claim, result));
+        if (result.outcome != RunOutcome::NotRun && !this->chance(this->hazards.loss)) {
+            this->schedule(
+                this->now + milliseconds(this->below(5)), [this, run, result] { this->reportEnd(run, result); });
+        }
+    }
+
+    // The answer reaches the holder's broker.
+    void reportEnd(const Run& run, const RunResult& result)
+    {
+        Agent& holder = this->agents.at(run.holder.instance);
+        if (holder.identity != run.holder || this->isSeparated(run.host) != this->isSeparated(run.holder.instance)) {
+            return;
+        }
+        if (holder.pausedUntil > this->now) {
+            this->schedule(holder.pausedUntil, [this, run, result] { this->reportEnd(run, result); });
+            return;
+        }
+        if (result.outcome == RunOutcome::Completed) {
+            std::erase(holder.held, run.request);
+            for (const std::uint64_t sharer : this->sharers[{ run.holder, run.request }]) {
+                std::erase(holder.held, sharer);
+            }
+        }
+        this->carryOut(holder, holder.placement->runEnded(this->now, run.request, run.claim, result));
+    }
+
+    Hazards hazards;
+    std::mt19937_64 random;
+    Metrics metrics;
+    TimePoint now { std::chrono::hours(1) };
+    std::vector<std::shared_ptr<const Configuration>> versions;
+    std::map<std::string, Agent> agents;
+    std::map<std::string, TimePoint> separatedUntil;
+    std::multimap<TimePoint, std::function<void()>> events;
+    std::map<std::uint64_t, Run> runs;
+    std::map<std::uint64_t, Outcome> outcomes;
+    std::map<std::string, int> runsOfKey;
+    std::map<std::pair<PeerIdentity, std::uint64_t>, std::vector<std::uint64_t>> sharers;
+    std::uint64_t nextRequest { 1 };
+    bool calm { false };
+};
+
+Hazards generateHazards()
+{
+    const auto rate = [](unsigned most) {
+        return *rc::gen::weightedOneOf<unsigned>({ { 1, rc::gen::just(0U) }, { 2, rc::gen::inRange(0U, most) } });
+    };
+    Hazards hazards;
+    hazards.hosts = *rc::gen::inRange(2U, 6U);
+    hazards.slots = *rc::gen::inRange(1U, 4U);
+    hazards.loss = rate(200);
+    hazards.duplication = rate(300);
+    hazards.longDelay = rate(200);
+    hazards.pauses = rate(30);
+    hazards.partitions = rate(20);
+    hazards.restarts = rate(15);
+    hazards.changes = rate(50);
+    hazards.failures = rate(200);
+    hazards.callersGone = rate(50);
+    hazards.seed = *rc::gen::arbitrary<std::uint64_t>();
+    return hazards;
+}
+
+}
+
+// Guards P4, P5 and P6 against loss, duplication, reordering, pauses, partitions, restarts and uneven configurations.
+// RC_PARAMS sets another seed or a larger run count, for example "seed=1 max_success=5000".
+TEST_CASE("a hostile network breaks no promise about requests")
+{
+    std::size_t requests = 0;
+    std::size_t started = 0;
+    std::map<std::string, std::size_t> refused;
+    CHECK(rc::check("hostile network", [&] {
+        HostileFleet fleet(generateHazards());
+        fleet.simulate();
+        fleet.checkEnds();
+        requests += fleet.requestCount();
+        started += fleet.runCount;
+        for (const auto& [reason, count] : fleet.refusals) {
+            refused[reason] += count;
+        }
+        for (const std::string& violation : fleet.violations) {
+            RC_FAIL(violation);
+        }
+    }));
+    // A fleet that refuses nearly everything would keep the promises trivially.
+    CHECK(started * 3 > requests);
+    fmt::print("hostile network: {} requests, {} runs\n", requests, started);
+    for (const auto& [reason, count] : refused) {
+        fmt::print("  refused {}: {}\n", reason, count);
+    }
+}
