--- a/src/app/RunBalancer.cpp
+++ b/src/app/RunBalancer.cpp
@@ -1,6 +1,5 @@
 #include "app/BalancerProcess.h"
 #include "app/Commands.h"
-#include "app/Settings.h"
 
 namespace chicoryferry {
 
