--- a/test/standins/StandinsMain.cpp
+++ b/test/standins/StandinsMain.cpp
@@ -1,4 +1,5 @@
 #include "BackendStandin.h"
+#include "DocumentCommands.h"
 #include "NetworkStandin.h"
 #include "PlatformStandin.h"
 #include "ProxyStandin.h"
@@ -19,6 +20,8 @@
 
 constexpr Standin standins[] = {
     { "backend", chicoryferry::standins::runBackendStandin },
+    { "fill-document", chicoryferry::standins::runFillDocument },
+    { "list-hosts", chicoryferry::standins::runListHosts },
     { "network", chicoryferry::standins::runNetworkStandin },
     { "platform", chicoryferry::runPlatformStandin },
     { "proxy", chicoryferry::standins::runProxyStandin },
