--- a/test/integration/ChildProcess.cpp
+++ b/test/integration/ChildProcess.cpp
@@ -110,7 +110,7 @@
     std::unique_lock<std::mutex> lock(this->mutex);
     for (std::size_t next = 0;;) {
         for (; next < this->lines.size(); ++next) {
-            const nlohmann::json line = nlohmann::json::parse(this->lines[next], nullptr, false);
+            nlohmann::json line = nlohmann::json::parse(this->lines[next], nullptr, false);
             if (line.is_object() && line.value("event", "") == event) {
                 return line;
             }
--- a/test/integration/HistoryChecker.cpp
+++ b/test/integration/HistoryChecker.cpp
@@ -79,7 +79,7 @@
         const std::string service = run.at("service");
         ++runsById[id];
         if (const std::string key = run.at("key"); !key.empty()) {
-            ++runsByKey[service + " " + key];
+            ++runsByKey[fmt::format("{} {}", service, key)];
         }
         if (const auto asked = serviceById.find(id); asked != serviceById.end() && asked->second != service) {
             violations.push_back(fmt::format("isolation: {} of {} ran at {}", id, asked->second, service));
--- a/test/standins/StreamRelay.cpp
+++ b/test/standins/StreamRelay.cpp
@@ -140,18 +140,18 @@
     this->loop.events().modify(side.descriptor, EPOLLIN | (side.output.empty() ? 0U : EPOLLOUT));
 }
 
-void StreamRelay::close(const ConnectionPointer& connection)
+void StreamRelay::close(ConnectionPointer connection)
 {
     if (connection->closed) {
         return;
     }
     connection->closed = true;
-    const ConnectionPointer kept = connection;
-    for (const Side* side : { &kept->source, &kept->target }) {
+    for (const Side* side : { &connection->source, &connection->target }) {
         this->loop.events().remove(side->descriptor);
         closeWithReset(side->descriptor);
     }
-    this->connections.erase(kept.get());
+    this->connections.erase(connection.get());
+    connection.reset();
 }
 
 }
--- a/test/standins/StreamRelay.h
+++ b/test/standins/StreamRelay.h
@@ -45,7 +45,8 @@
     void readSide(const ConnectionPointer&, bool fromSource);
     void passOn(const ConnectionPointer&, bool toTarget, const std::string& bytes, const ProxiedItem&);
     void writeSide(const ConnectionPointer&, bool toTarget);
-    void close(const ConnectionPointer&);
+    // Takes its own reference, because the handlers that hold the connection are removed.
+    void close(ConnectionPointer);
 
     StandinLoop& loop;
     ProxyRules& rules;
