--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -33,6 +33,7 @@
 start() {
     local name=$1
     shift
+    : >"$work/$name.log"
     "$@" 2>"$work/$name.log" &
     pids+=($!)
     for _ in $(seq 100); do
@@ -115,7 +116,7 @@
     local service=$1 status origin answered bytes seconds verdict=right
     shift
     curl --silent --max-time 20 --dump-header "$work/head" --output "$work/body" \
-        --write-out '%{http_code} %{size_download} %{time_total}' "$@" >"$work/measures" || true
+        --write-out '%{http_code} %{size_download} %{time_total}\n' "$@" >"$work/measures" || true
     read -r status bytes seconds <"$work/measures"
     origin=$(tr -d '\r' <"$work/head" | sed -n 's/^[Cc]hicoryferry-[Oo]rigin: //p')
     answered=$(tr -d '\r' <"$work/head" | sed -n 's/^[Xx]-[Ss]ervice: //p')
