--- a/test/integration/Cluster.cpp
+++ b/test/integration/Cluster.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdlib>
 #include <fmt/format.h>
 #include <sstream>
 #include <stdexcept>
@@ -15,6 +16,13 @@
 
 constexpr std::chrono::milliseconds pollInterval { 20 };
 
+// A test is run against a program with one mechanism taken out by naming that program in the environment.
+std::string programPath()
+{
+    const char* path = std::getenv("CHICORYFERRY_PROGRAM");
+    return path == nullptr ? CHICORYFERRY_BINARY : path;
+}
+
 const std::map<std::string, std::string> serviceAddresses { { "job", "10.1.0.1" }, { "drawing", "10.1.0.2" } };
 
 nlohmann::json route(const std::string& method, const std::string& path, bool shareable, bool repeatable,
@@ -120,7 +128,7 @@
 void Cluster::startAgent(ClusterHost& host, const std::string& dataAddress, const std::string& peerAddress)
 {
     host.agent = std::make_unique<ChildProcess>(fmt::format("agent-{}-{}", host.plan.name, host.incarnation),
-        std::vector<std::string> { CHICORYFERRY_BINARY, "agent", "--instance", host.plan.name, "--availability-zone",
+        std::vector<std::string> { programPath(), "agent", "--instance", host.plan.name, "--availability-zone",
             host.plan.availabilityZone, "--incarnation", std::to_string(host.incarnation), "--data-address",
             dataAddress, "--peer-address", peerAddress, "--platform", "http://" + formatEndpoint(this->platformAddress),
             "--fabric-address", formatEndpoint(this->fabricAddress), "--backend-server",
@@ -137,20 +145,14 @@
     }
 }
 
-ClusterHost& Cluster::addHost(const HostPlan& hostPlan, bool sameAddresses)
+ClusterHost& Cluster::addHost(const HostPlan& hostPlan, const ClusterHost* addressesOf)
 {
-    std::string dataAddress = "127.0.0.1:0";
-    std::string peerAddress = "127.0.0.1:0";
     std::uint64_t incarnation = 1;
     for (ClusterHost& earlier : this->hosts) {
         if (earlier.plan.name == hostPlan.name) {
             incarnation = earlier.incarnation + 1;
             earlier.inDocument = false;
             earlier.listed = false;
-            if (sameAddresses) {
-                dataAddress = formatEndpoint(earlier.dataAddress);
-                peerAddress = formatEndpoint(earlier.peerAddress);
-            }
         }
     }
     ClusterHost& host = this->hosts.emplace_back();
@@ -158,7 +160,9 @@
     host.incarnation = incarnation;
     host.labels = { { "service", hostPlan.service } };
     this->startBackend(host);
-    this->startAgent(host, dataAddress, peerAddress);
+    const std::string anyPort = "127.0.0.1:0";
+    this->startAgent(host, addressesOf == nullptr ? anyPort : formatEndpoint(addressesOf->dataAddress),
+        addressesOf == nullptr ? anyPort : formatEndpoint(addressesOf->peerAddress));
     return host;
 }
 
@@ -168,7 +172,7 @@
     balancer.name = fmt::format("balancer-{}", this->balancers.size());
     balancer.availabilityZone = availabilityZone;
     balancer.process = std::make_unique<ChildProcess>(balancer.name,
-        std::vector<std::string> { CHICORYFERRY_BINARY, "balancer", "--instance", balancer.name, "--availability-zone",
+        std::vector<std::string> { programPath(), "balancer", "--instance", balancer.name, "--availability-zone",
             availabilityZone, "--incarnation", "1", "--platform", "http://" + formatEndpoint(this->platformAddress) });
     const nlohmann::json listening = balancer.process->waitForEvent("listening");
     balancer.dataAddress = addressIn(listening, "data");
--- a/test/integration/Cluster.h
+++ b/test/integration/Cluster.h
@@ -36,9 +36,10 @@
     ClusterBalancer& balancer(const std::string& name);
     std::vector<std::string> balancerNames() const;
 
-    // Starts a further host; it takes part after publish(). The name may be that of an earlier host whose agent has
-    // ended; it then has a new incarnation and, when asked, the addresses of the earlier one.
-    ClusterHost& addHost(const HostPlan&, bool sameAddresses = false);
+    // Starts a further host; it takes part after publish(). A name that was used before gets a new incarnation, and the
+    // earlier host is no longer published. addressesOf: a host whose agent has ended and whose addresses are used
+    // again.
+    ClusterHost& addHost(const HostPlan&, const ClusterHost* addressesOf = nullptr);
 
     // Starts a further balancer; it is listed and sprayed to after publish().
     ClusterBalancer& addBalancer(const std::string& availabilityZone);
--- a/test/integration/PlannedChangesBreakNoFlow.cpp
+++ b/test/integration/PlannedChangesBreakNoFlow.cpp
@@ -52,33 +52,56 @@
     CHECK(cluster.waitForVersion(cluster.publish()) <= configurationBound);
 }
 
+// Benches that keep their connections for the whole test, and printers with long downloads.
+struct Load {
+    explicit Load(Cluster& cluster)
+        : traffic(cluster, history)
+    {
+        this->traffic.addBenches(benchThreads, connectionsPerThread(), std::chrono::milliseconds(5), 0.02, "2ms");
+        this->traffic.addPrinters(6, 4'000'000, 1'000'000);
+        this->traffic.waitUntilOpen(std::chrono::seconds(60));
+    }
+
+    // Stops the load and fails the test case for each flow that broke and each promise that was not kept.
+    void finish(const Cluster& cluster)
+    {
+        this->traffic.stop();
+        MESSAGE("seed " << cluster.clusterPlan().seed << ", flows " << this->traffic.openedFlows() << ", calls "
+                        << this->history.calls().size() << "\n"
+                        << this->history.summary());
+        CHECK(this->traffic.openedFlows() >= benchThreads * connectionsPerThread());
+        CHECK(this->traffic.brokenFlows() == 0);
+        CHECK(this->history.countStatus(200) == this->history.calls().size());
+        requireCleanHistory(this->history, cluster);
+    }
+
+    CallHistory history;
+    Traffic traffic;
+};
+
 }
 
-TEST_CASE("no flow breaks while balancers are replaced and hosts are added, drained and removed [P1, planned changes]")
+TEST_CASE("no flow breaks while every balancer is replaced and hosts are added and drained [P1, planned changes]")
 {
     Cluster cluster(ClusterPlan::small(201));
-    CallHistory history;
-    Traffic traffic(cluster, history);
-    traffic.addBenches(benchThreads, connectionsPerThread(), std::chrono::milliseconds(5), 0.02, "2ms");
-    traffic.addPrinters(6, 4'000'000, 1'000'000);
-    traffic.waitUntilOpen(std::chrono::seconds(60));
-
+    Load load(cluster);
     replaceEveryBalancer(cluster);
     cluster.addHost({ "job-4", "job", "dar-1" });
     CHECK(cluster.waitForVersion(cluster.publish()) <= configurationBound);
     drainHost(cluster, "job-1");
     drainHost(cluster, "drawing-1");
-    // The leaving host is terminated while its flows are open: it hands them over or serves them to their end.
+    load.traffic.waitForFurtherRequests(std::chrono::seconds(30));
+    load.finish(cluster);
+}
+
+TEST_CASE("no flow breaks while a host that holds flows is drained and terminated [P1, planned removal]")
+{
+    Cluster cluster(ClusterPlan::small(202));
+    Load load(cluster);
+    drainHost(cluster, "job-1");
     cluster.host("job-1").instanceState = "leaving";
     cluster.publishInstances();
     cluster.host("job-1").agent->send(SIGTERM);
-    std::this_thread::sleep_for(std::chrono::seconds(4));
-    traffic.stop();
-
-    MESSAGE("seed 201, flows " << traffic.openedFlows() << ", calls " << history.calls().size() << "\n"
-                               << history.summary());
-    CHECK(traffic.openedFlows() >= benchThreads * connectionsPerThread());
-    CHECK(traffic.brokenFlows() == 0);
-    CHECK(history.countIncomplete() == 0);
-    requireCleanHistory(history, cluster);
+    load.traffic.waitForFurtherRequests(std::chrono::seconds(30));
+    load.finish(cluster);
 }
--- /dev/null
+++ b/test/integration/RelabelledHostServesOneService.cpp
@@ -0,0 +1,93 @@
+// P2: packets and requests for one service never reach another. Guards against agents that trust what a stale balancer
+// sends, and against an address that belongs to a host of another service now.
+
+#include "CallHistory.h"
+#include "Cluster.h"
+#include "RequireCleanHistory.h"
+#include "Traffic.h"
+
+#include <csignal>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+using namespace chicoryferry::integration;
+
+namespace {
+
+constexpr std::chrono::seconds recoveryLimit { 60 };
+
+void addLoad(Traffic& traffic)
+{
+    traffic.addBenches(8, 8, std::chrono::milliseconds(5), 0.1, "5ms");
+    traffic.addPrinters(4, 200'000, 0);
+    traffic.waitUntilOpen(recoveryLimit);
+}
+
+// New connections, so that first packets also go through the stale balancer.
+void askOverNewConnections(Cluster& cluster, CallHistory& history, int count)
+{
+    for (int number = 0; number < count; ++number) {
+        const std::string caller = fmt::format("10.9.1.{}", 1 + number % 8);
+        CallerSession bench(history, caller, "job", cluster.entry(caller, "job"));
+        bench.get(fmt::format("/layout/new-{}?run=1ms", number));
+        CallerSession printer(history, caller, "drawing", cluster.entry(caller, "drawing"));
+        printer.get(fmt::format("/thumbnails/new-{}?run=1ms", number));
+    }
+}
+
+void finish(Cluster& cluster, CallHistory& history, Traffic& traffic)
+{
+    traffic.waitForFurtherRequests(recoveryLimit);
+    traffic.stop();
+    MESSAGE("seed " << cluster.clusterPlan().seed << "\n" << history.summary());
+    CHECK(history.countStatus(200) > 0);
+    requireCleanHistory(history, cluster);
+}
+
+}
+
+TEST_CASE("a host that changes its service serves only the new one [P2, relabelled host, paused balancer]")
+{
+    Cluster cluster(ClusterPlan::small(301));
+    CallHistory history;
+    Traffic traffic(cluster, history);
+    addLoad(traffic);
+    ClusterBalancer& stale = cluster.balancer("balancer-1");
+    cluster.pause(*stale.process);
+
+    // The operator takes the host out of the job service first and changes the backend server when that is in force.
+    ClusterHost& host = cluster.host("job-3");
+    host.labels["quarantined"] = "true";
+    cluster.waitForVersion(cluster.publish());
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    cluster.setBackend("job-3", { { "service", "drawing" } });
+    host.labels = { { "service", "drawing" } };
+    cluster.waitForVersion(cluster.publish());
+
+    cluster.resume(*stale.process);
+    askOverNewConnections(cluster, history, 60);
+    finish(cluster, history, traffic);
+    CHECK(traffic.brokenFlows() == 0);
+}
+
+TEST_CASE("a host at the address of an earlier one gets none of its packets [P2, re-used address, paused balancer]")
+{
+    Cluster cluster(ClusterPlan::small(302));
+    CallHistory history;
+    Traffic traffic(cluster, history);
+    addLoad(traffic);
+    ClusterBalancer& stale = cluster.balancer("balancer-1");
+    cluster.pause(*stale.process);
+
+    ClusterHost& earlier = cluster.host("job-3");
+    earlier.agent->send(SIGKILL);
+    REQUIRE(earlier.agent->waitForExit(std::chrono::seconds(5)));
+    earlier.inDocument = false;
+    earlier.listed = false;
+    cluster.addHost({ "drawing-3", "drawing", "dar-3" }, &earlier);
+    cluster.waitForVersion(cluster.publish());
+
+    cluster.resume(*stale.process);
+    askOverNewConnections(cluster, history, 60);
+    finish(cluster, history, traffic);
+}
--- a/test/integration/Traffic.cpp
+++ b/test/integration/Traffic.cpp
@@ -13,6 +13,10 @@
 // Caller addresses are spread over this many entries a service.
 constexpr unsigned callerAddresses = 8;
 
+constexpr unsigned attemptsPerKey = 4;
+
+std::string benchAddress(unsigned number) { return fmt::format("10.9.1.{}", 1 + number % callerAddresses); }
+
 }
 
 Traffic::Traffic(Cluster& clusterToUse, CallHistory& historyToUse, std::chrono::milliseconds callTimeout)
@@ -30,12 +34,22 @@
     this->benchConnections += static_cast<std::uint64_t>(threadCount) * connectionsEach;
     for (unsigned index = 0; index < threadCount; ++index) {
         const unsigned number = this->nextThread++;
-        this->threads.emplace_back([this, number, connectionsEach, pause, writeShare, runTime] {
-            this->runBench(number, connectionsEach, pause, writeShare, runTime);
+        BenchProgress& progress = this->benches.emplace_back();
+        progress.connections = connectionsEach;
+        this->threads.emplace_back([this, number, &progress, pause, writeShare, runTime] {
+            this->runBench(number, progress, pause, writeShare, runTime);
         });
     }
 }
 
+void Traffic::addWriters(unsigned threadCount, std::chrono::milliseconds pause, const std::string& runTime)
+{
+    for (unsigned index = 0; index < threadCount; ++index) {
+        this->threads.emplace_back(
+            [this, number = this->nextThread++, pause, runTime] { this->runWriter(number, pause, runTime); });
+    }
+}
+
 void Traffic::addPrinters(unsigned threadCount, std::uint64_t bytes, std::uint64_t bytesPerSecond)
 {
     for (unsigned index = 0; index < threadCount; ++index) {
@@ -45,10 +59,11 @@
     }
 }
 
-void Traffic::runBench(unsigned thread, unsigned connections, std::chrono::milliseconds pause, double writeShare,
+void Traffic::runBench(unsigned thread, BenchProgress& progress, std::chrono::milliseconds pause, double writeShare,
     const std::string& runTime)
 {
-    const std::string caller = fmt::format("10.9.1.{}", 1 + thread % callerAddresses);
+    const unsigned connections = progress.connections;
+    const std::string caller = benchAddress(thread);
     const Endpoint entry = this->cluster.entry(caller, "job");
     std::vector<std::unique_ptr<CallerSession>> sessions;
     for (unsigned index = 0; index < connections; ++index) {
@@ -71,10 +86,28 @@
         bool open = countedOpen[index] != 0;
         this->count(session, countedBroken[index], open);
         countedOpen[index] = open ? 1 : 0;
+        ++progress.requests;
         std::this_thread::sleep_for(pause);
     }
 }
 
+void Traffic::runWriter(unsigned thread, std::chrono::milliseconds pause, const std::string& runTime)
+{
+    for (std::uint64_t number = 0; !this->stopping; ++number) {
+        const std::string place = fmt::format("{}-{}", thread, number);
+        const std::string key = fmt::format("writer-{}-{}", this->cluster.clusterPlan().seed, place);
+        bool ran = false;
+        for (unsigned attempt = 0; attempt < attemptsPerKey && (attempt < 2 || !ran); ++attempt) {
+            const std::string caller = benchAddress(thread + attempt);
+            CallerSession session(this->history, caller, "job", this->cluster.entry(caller, "job"));
+            const HttpAnswer answer = session.post(
+                fmt::format("/corrections?run={}&id={}", runTime, place), "correction " + place, key, this->timeout);
+            ran = ran || (answer.complete && answer.status == 200);
+            std::this_thread::sleep_for(pause);
+        }
+    }
+}
+
 void Traffic::runPrinter(unsigned thread, std::uint64_t bytes, std::uint64_t bytesPerSecond)
 {
     const std::string caller = fmt::format("10.9.2.{}", 1 + thread % callerAddresses);
@@ -110,6 +143,21 @@
     }
 }
 
+void Traffic::waitForFurtherRequests(std::chrono::milliseconds limit) const
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    for (const BenchProgress& bench : this->benches) {
+        // One more than a round, because a request may be under way now.
+        const std::uint64_t wanted = bench.requests + bench.connections + 1;
+        while (bench.requests < wanted) {
+            if (std::chrono::steady_clock::now() > end) {
+                throw std::runtime_error("a bench did not ask on each of its connections in time");
+            }
+            std::this_thread::sleep_for(pollInterval);
+        }
+    }
+}
+
 void Traffic::stop()
 {
     this->stopping = true;
--- a/test/integration/Traffic.h
+++ b/test/integration/Traffic.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <thread>
 #include <vector>
@@ -31,6 +32,13 @@
     // Printers: each thread downloads drawings of this size at this pace (bytes a second; 0: as fast as possible).
     void addPrinters(unsigned threads, std::uint64_t bytes, std::uint64_t bytesPerSecond);
 
+    // Writers: each thread sends keyed corrections, each over a connection of its own, and repeats a key up to four
+    // times from other caller addresses: always once, and again until an answer tells that it ran.
+    void addWriters(unsigned threads, std::chrono::milliseconds pause, const std::string& runTime);
+
+    // Waits until every connection of the benches has carried a further request from its start to its end.
+    void waitForFurtherRequests(std::chrono::milliseconds timeout) const;
+
     // Waits until every connection of the benches has been opened and has carried a request.
     void waitUntilOpen(std::chrono::milliseconds timeout) const;
 
@@ -44,8 +52,14 @@
     std::uint64_t openedFlows() const { return this->opened; }
 
 private:
-    void runBench(unsigned thread, unsigned connections, std::chrono::milliseconds pause, double writeShare,
+    struct BenchProgress {
+        unsigned connections { 0 };
+        std::atomic<std::uint64_t> requests { 0 };
+    };
+
+    void runBench(unsigned thread, BenchProgress&, std::chrono::milliseconds pause, double writeShare,
         const std::string& runTime);
+    void runWriter(unsigned thread, std::chrono::milliseconds pause, const std::string& runTime);
     void runPrinter(unsigned thread, std::uint64_t bytes, std::uint64_t bytesPerSecond);
     void count(CallerSession&, std::uint64_t& countedBroken, bool& countedOpen);
 
@@ -56,6 +70,7 @@
     std::atomic<std::uint64_t> broken { 0 };
     std::atomic<std::uint64_t> opened { 0 };
     std::uint64_t benchConnections { 0 };
+    std::deque<BenchProgress> benches;
     unsigned nextThread { 0 };
     std::vector<std::thread> threads;
 };
--- a/test/standins/BackendRun.h
+++ b/test/standins/BackendRun.h
@@ -9,6 +9,7 @@
 // The record of one request that reached a backend server.
 struct BackendRun {
     std::uint64_t number { 0 };
+    std::string service; // that the server offered when the request arrived
     std::string requestId; // header X-Request-Id
     std::string method;
     std::string target;
--- a/test/standins/BackendServer.cpp
+++ b/test/standins/BackendServer.cpp
@@ -70,6 +70,7 @@
     }
     BackendRun run;
     run.number = this->runs.size();
+    run.service = this->service;
     run.requestId = headerValue(request, "x-request-id");
     run.method = request.method;
     run.target = request.target;
@@ -212,9 +213,9 @@
     BackendAnswer answer;
     answer.status = static_cast<unsigned>(numberOr(queryValue(run.target, "status"), 200));
     answer.headers["Content-Type"] = "application/octet-stream";
-    answer.headers["X-Service"] = this->service;
+    answer.headers["X-Service"] = run.service;
     answer.headers["X-Host"] = this->host;
-    answer.identity = AnswerIdentity { this->service, run.target, run.bodyHash };
+    answer.identity = AnswerIdentity { run.service, run.target, run.bodyHash };
     answer.contentBytes = run.method == "HEAD" ? 0 : answerBytes(run.target);
     answer.chunked = queryValue(run.target, "chunked") == "1";
     answer.cutAfter = numberOr(queryValue(run.target, "cut"), UINT64_MAX);
@@ -258,6 +259,7 @@
 void BackendServer::applySettings(const nlohmann::json& changes)
 {
     BackendSettings& current = this->settings;
+    this->service = changes.value("service", this->service);
     current.slots = changes.value("slots", current.slots);
     current.queueLimit = changes.value("queueLimit", current.queueLimit);
     current.draining = changes.value("draining", current.draining);
@@ -301,7 +303,7 @@
 {
     nlohmann::json list = nlohmann::json::array();
     for (const BackendRun& run : this->runs) {
-        list.push_back({ { "run", run.number }, { "service", this->service }, { "host", this->host },
+        list.push_back({ { "run", run.number }, { "service", run.service }, { "host", this->host },
             { "requestId", run.requestId }, { "method", run.method }, { "target", run.target },
             { "key", run.idempotencyKey }, { "bodyHash", fmt::format("{:016x}", run.bodyHash) },
             { "bodyBytes", run.bodyBytes }, { "deadlineMs", run.deadlineMs }, { "started", run.started },
--- a/test/standins/BackendStandin.h
+++ b/test/standins/BackendStandin.h
@@ -12,9 +12,9 @@
 // chunked=1, cut=N (reset after N bytes of the body), stall=N (no more after N bytes), pace=N (bytes a second).
 // The body is AnswerContent of service, target and request body.
 //
-// Control on the same address: GET /control/runs, PUT /control/settings {slots, queueLimit, draining, shedding, frozen,
-// speed, coldFactor, coldMs, falseLoad (null: the truth), loadLagMs}, GET /control/state. GET /health and GET /load as
-// a backend server offers them.
+// Control on the same address: GET /control/runs, PUT /control/settings {service, slots, queueLimit, draining,
+// shedding, frozen, speed, coldFactor, coldMs, falseLoad (null: the truth), loadLagMs}, GET /control/state. GET /health
+// and GET /load as a backend server offers them.
 int runBackendStandin(const std::vector<std::string>& arguments);
 
 }
