--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,10 +11,10 @@
 step "format and lint"
 scripts/lint.sh build
 step "unit tests under address and undefined-behaviour sanitizers"
-scripts/build.sh build-asan -DCHICORYFERRY_SANITIZE=address,undefined -DCMAKE_BUILD_TYPE=Debug
+TARGET=unit_tests scripts/build.sh build-asan -DCHICORYFERRY_SANITIZE=address,undefined -DCMAKE_BUILD_TYPE=Debug
 ctest --test-dir build-asan --output-on-failure -R '^unit$'
 step "unit tests of threaded parts under the thread sanitizer"
-scripts/build.sh build-tsan -DCHICORYFERRY_SANITIZE=thread -DCMAKE_BUILD_TYPE=Debug
+TARGET=unit_tests scripts/build.sh build-tsan -DCHICORYFERRY_SANITIZE=thread -DCMAKE_BUILD_TYPE=Debug
 build-tsan/unit_tests --test-case='*[threads]*'
 step "all tests"
 ctest --test-dir build --output-on-failure
