Report why an attempt failed when the retry budget is used up

Cause: two tests of the broker failed against the real placement, which replaced the reason of the failed attempt by retry_budget, and refused the first retry of a quiet service because the budget starts empty. Ruled out: a fault of the broker; it reported answer_gap and peer_silence.

--- a/src/coordination/RequestHolder.cpp
+++ b/src/coordination/RequestHolder.cpp
@@ -283,7 +283,9 @@
         return;
     }
     if (!this->retryBudget.takeRetry()) {
-        this->refuse(now, held, "run", refusal(502, RunOutcome::Unknown, "retry_budget"));
+        // The caller learns why the attempt failed; the counter tells the operator why it was not repeated.
+        this->context.metrics.refusals("retry", "retry_budget").Increment();
+        this->refuse(now, held, "run", refusal(502, RunOutcome::Unknown, reason));
         return;
     }
     held.failedOn.insert(held.claimer.instance);
