--- a/src/app/AgentProcess.cpp
+++ b/src/app/AgentProcess.cpp
@@ -92,6 +92,8 @@
         this->step();
     }
     const bool cutShort = this->flows.liveCount() > 0 || this->broker.requestsInFlight() > 0;
+    this->edge.resetBusy(Clock::now());
+    this->socket.flush();
     this->control.stop();
     this->logger.log(LogLevel::Info, "stopped", "stop", "",
         { { "flows", this->flows.liveCount() }, { "requests", this->broker.requestsInFlight() },
--- a/src/app/FlowIntake.cpp
+++ b/src/app/FlowIntake.cpp
@@ -14,6 +14,36 @@
 
 constexpr const char* step = "admit packet";
 
+std::vector<prometheus::Counter*> dropCountersOf(Metrics& metrics)
+{
+    std::vector<prometheus::Counter*> counters;
+    for (const AdmissionDrop reason : { AdmissionDrop::UnknownPeer, AdmissionDrop::WrongIncarnation,
+             AdmissionDrop::WrongService, AdmissionDrop::NotSelected, AdmissionDrop::FlowUnknown }) {
+        counters.push_back(&metrics.drops(step, std::string(admissionDropName(reason))));
+    }
+    return counters;
+}
+
+std::vector<prometheus::Counter*> refusalCountersOf(Metrics& metrics)
+{
+    std::vector<prometheus::Counter*> counters;
+    for (const AdmissionRefusal reason : { AdmissionRefusal::RefusedDraining, AdmissionRefusal::RefusedFull,
+             AdmissionRefusal::RefusedNotSelected, AdmissionRefusal::FlowUnknown }) {
+        counters.push_back(&metrics.refusals(step, std::string(admissionRefusalName(reason))));
+    }
+    return counters;
+}
+
+std::vector<prometheus::Counter*> faultCountersOf(Metrics& metrics)
+{
+    std::vector<prometheus::Counter*> counters;
+    for (const PacketFault fault :
+        { PacketFault::Malformed, PacketFault::Fragment, PacketFault::ChecksumLength, PacketFault::NotTcp }) {
+        counters.push_back(&metrics.drops(step, std::string(packetFaultName(fault))));
+    }
+    return counters;
+}
+
 FlowKey keyOf(const PacketView& packet) { return { packet.source, packet.destination }; }
 
 }
@@ -25,6 +55,10 @@
     , stack(tcpStack)
     , socket(dataSocket)
     , metrics(processMetrics)
+    , dropCounters(dropCountersOf(processMetrics))
+    , refusalCounters(refusalCountersOf(processMetrics))
+    , faultCounters(faultCountersOf(processMetrics))
+    , malformedEnvelope(processMetrics.drops(step, "malformed_envelope"))
     , delivered(processMetrics.events("packet_delivered"))
     , passedOn(processMetrics.events("packet_passed_on"))
 {
@@ -35,12 +69,12 @@
 {
     const auto bytes = decodeEnvelope(datagram, this->header);
     if (!bytes) {
-        this->metrics.drops(step, "malformed_envelope").Increment();
+        this->malformedEnvelope.Increment();
         return;
     }
     const auto parsed = parsePacket(*bytes);
     if (const auto* fault = std::get_if<PacketFault>(&parsed)) {
-        this->metrics.drops(step, std::string(packetFaultName(*fault))).Increment();
+        this->faultCounters[static_cast<std::size_t>(*fault)]->Increment();
         return;
     }
     const auto& packet = std::get<PacketView>(parsed);
@@ -103,12 +137,12 @@
     if (decision.removeHalfOpen) {
         this->removeHalfOpen(keyOf(packet));
     }
-    this->metrics.drops(step, std::string(admissionDropName(decision.reason))).Increment();
+    this->dropCounters[static_cast<std::size_t>(decision.reason)]->Increment();
 }
 
 void FlowIntake::carryOut(const PacketView& packet, const ResetFlow& decision)
 {
-    this->metrics.refusals(step, std::string(admissionRefusalName(decision.reason))).Increment();
+    this->refusalCounters[static_cast<std::size_t>(decision.reason)]->Increment();
     // SYN and FIN each take one sequence number.
     const auto length
         = static_cast<std::uint32_t>(packet.payloadLength + (packet.synchronize ? 1 : 0) + (packet.finish ? 1 : 0));
--- a/src/app/FlowIntake.h
+++ b/src/app/FlowIntake.h
@@ -13,6 +13,7 @@
 #include <span>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace chicoryferry {
 
@@ -59,6 +60,10 @@
     Metrics& metrics;
     Interceptor interceptor;
     wire::EnvelopeHeader header;
+    std::vector<prometheus::Counter*> dropCounters; // by AdmissionDrop
+    std::vector<prometheus::Counter*> refusalCounters; // by AdmissionRefusal
+    std::vector<prometheus::Counter*> faultCounters; // by PacketFault
+    prometheus::Counter& malformedEnvelope;
     prometheus::Counter& delivered;
     prometheus::Counter& passedOn;
 };
--- a/src/app/HttpEdge.cpp
+++ b/src/app/HttpEdge.cpp
@@ -456,6 +456,17 @@
     });
 }
 
+void HttpEdge::resetBusy(TimePoint now)
+{
+    this->process(now, [&] {
+        for (const auto& [identifier, connection] : this->connections) {
+            if (!connection->ended && connection->request != 0) {
+                this->reset(now, *connection, "drain_limit");
+            }
+        }
+    });
+}
+
 void HttpEdge::cancelRequest(TimePoint now, EdgeConnection& connection)
 {
     if (connection.request != 0 && !connection.answerFinished) {
--- a/src/app/HttpEdge.h
+++ b/src/app/HttpEdge.h
@@ -58,6 +58,9 @@
     // Ends a connection that cannot be handed over: at once, or after the requests that have arrived on it.
     void endWhenIdle(TimePoint, std::uint64_t connection);
 
+    // Resets every connection with a request in progress, because the process ends and cannot answer it.
+    void resetBusy(TimePoint);
+
     std::size_t connectionCount() const { return this->connections.size(); }
 
 private:
--- a/test/unit/HttpEdgeBoundsMemoryAndTime.cpp
+++ b/test/unit/HttpEdgeBoundsMemoryAndTime.cpp
@@ -76,7 +76,18 @@
 }
 
 // Guards against work for an answer that nobody waits for.
-TEST_CASE("a request is cancelled when its caller goes away")
+TEST_CASE("a request is cancelled when its caller closes the connection")
+{
+    EdgeFixture fixture;
+    fixture.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.pair.client.close(fixture.connection);
+    fixture.pair.run();
+    CHECK(fixture.requests[0].cancelled);
+    CHECK(fixture.edge.connectionCount() == 0);
+}
+
+// Guards against work for an answer that nobody waits for.
+TEST_CASE("a request is cancelled when its caller resets the connection")
 {
     EdgeFixture fixture;
     fixture.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
--- a/test/unit/HttpEdgeDrainsGracefully.cpp
+++ b/test/unit/HttpEdgeDrainsGracefully.cpp
@@ -48,3 +48,33 @@
     fixture.pair.run();
     CHECK(fixture.pair.client.flows().empty());
 }
+
+// Guards against callers that wait for an answer which the ended process cannot give.
+TEST_CASE("requests that outlast the drain limit are reset")
+{
+    EdgeFixture fixture;
+    fixture.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.edge.startDraining(fixture.now, true);
+    fixture.edge.resetBusy(fixture.now);
+    fixture.pair.run();
+    CHECK(fixture.callerSawEnd());
+    CHECK(fixture.requests[0].cancelled);
+}
+
+// Guards promise P1: a connection that waits for its handover is neither closed nor read.
+TEST_CASE("idle connections stay open and unread while they wait for their handover")
+{
+    EdgeFixture fixture;
+    fixture.edge.startDraining(fixture.now, true);
+    fixture.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.edge.tick(fixture.now + 60s);
+    fixture.pair.run();
+    CHECK(fixture.requests.empty());
+    CHECK_FALSE(fixture.callerSawClose());
+    CHECK(fixture.edge.idleConnections().size() == 1);
+    fixture.edge.endWhenIdle(fixture.now, fixture.edge.idleConnections().front());
+    REQUIRE(fixture.requests.size() == 1);
+    fixture.answer(1, "one");
+    CHECK(fixture.received().ends_with("Connection: close\r\n\r\none"));
+    CHECK(fixture.callerSawClose());
+}
--- a/test/unit/HttpRequestsAreReadStrictly.cpp
+++ b/test/unit/HttpRequestsAreReadStrictly.cpp
@@ -47,7 +47,7 @@
     CHECK(refusal("GET /a HTTP/1.1\r\n\r\n") == "host_field");
     CHECK(refusal("GET /a HTTP/1.1\r\nHost: h\r\nHost: h\r\n\r\n") == "host_field");
     CHECK(refusal("GET a HTTP/1.1\r\nHost: h\r\n\r\n") == "request_target");
-    CHECK(refusal(std::string("GET /a HTTP/1.1\r\nHost: h\r\nX: a\0b\r\n\r\n", 42)) == "field_value");
+    CHECK(refusal(std::string("GET /a HTTP/1.1\r\nHost: h\r\nX: a\0b\r\n\r\n", 36)) == "field_value");
     CHECK(refusal("GET /a HTTP/1.1\r\nHost: h\r\nExpect: more\r\n\r\n") == "expectation");
     CHECK(refusal(start + "Content-Length: 3\r\n\r\nabc").empty());
 }
