--- a/src/coordination/RequestHolder.cpp
+++ b/src/coordination/RequestHolder.cpp
@@ -283,7 +283,9 @@
         return;
     }
     if (!this->retryBudget.takeRetry()) {
-        this->refuse(now, held, "run", refusal(502, RunOutcome::Unknown, "retry_budget"));
+        // The caller learns why the attempt failed; the counter tells the operator why it was not repeated.
+        this->context.metrics.refusals("retry", "retry_budget").Increment();
+        this->refuse(now, held, "run", refusal(502, RunOutcome::Unknown, reason));
         return;
     }
     held.failedOn.insert(held.claimer.instance);
@@ -555,7 +557,7 @@
     this->refuse(now, *held, "placement", refusal(503, RunOutcome::NotRun, "deadline_unreachable", shortRetryAfter));
 }
 
-void RequestHolder::tick(TimePoint now)
+void RequestHolder::checkSilentClaimers(TimePoint now)
 {
     const auto isSilent = [&](const PeerIdentity& peer) {
         const PeerState* state = this->context.peers.find(peer.instance);
@@ -566,6 +568,10 @@
         this->cancelGrant(held, "claimer_silent");
         this->attemptUnknown(now, held, "claimer_silent");
     }
+}
+
+void RequestHolder::tick(TimePoint now)
+{
     for (const std::uint64_t request : this->book.hopeless(now)) {
         this->refuseLate(now, request);
     }
--- a/test/integration/Cluster.h
+++ b/test/integration/Cluster.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -28,15 +29,17 @@
     Cluster& operator=(const Cluster&) = delete;
 
     // The loopback address at which the client entry listens for this caller and service ("job" or "drawing").
+    // Any thread; the other functions are for one thread.
     Endpoint entry(const std::string& caller, const std::string& service);
 
     ClusterHost& host(const std::string& name);
     ClusterBalancer& balancer(const std::string& name);
     std::vector<std::string> balancerNames() const;
 
-    // Starts a further host; it takes part after publish(). The name may be that of an earlier host whose agent has
-    // ended; it then has a new incarnation and, when asked, the addresses of the earlier one.
-    ClusterHost& addHost(const HostPlan&, bool sameAddresses = false);
+    // Starts a further host; it takes part after publish(). A name that was used before gets a new incarnation, and the
+    // earlier host is no longer published. addressesOf: a host whose agent has ended and whose addresses are used
+    // again.
+    ClusterHost& addHost(const HostPlan&, const ClusterHost* addressesOf = nullptr);
 
     // Starts a further balancer; it is listed and sprayed to after publish().
     ClusterBalancer& addBalancer(const std::string& availabilityZone);
@@ -106,6 +109,7 @@
     Endpoint proxyControl;
     std::deque<ClusterHost> hosts; // references stay valid when hosts are added
     std::deque<ClusterBalancer> balancers;
+    std::mutex entriesMutex;
     std::map<std::pair<std::string, std::string>, Endpoint> entries;
     std::vector<const ChildProcess*> paused;
 };
