--- a/test/unit/AnswerParserTellsTruncation.cpp
+++ b/test/unit/AnswerParserTellsTruncation.cpp
@@ -54,13 +54,13 @@
     const std::string text
         = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\nConnection: close\r\n"
           "X-A: 1\r\n\r\nhello";
-    rc::check([&text] {
+    CHECK(rc::check("pieces of an answer", [&text] {
         const Parsed parsed = parse(text, *rc::gen::inRange<std::size_t>(1, text.size() + 1));
         RC_ASSERT(parsed.state == State::Complete);
         RC_ASSERT(parsed.body == "hello");
         RC_ASSERT(parsed.head->status == 200U);
         RC_ASSERT(parsed.head->headers == HttpHeaders({ { "X-A", "1" } }));
-    });
+    }));
 }
 
 TEST_CASE("an answer without framing ends with the connection, and one to HEAD has no body")
--- a/test/unit/SharedAnswerReachesEachReaderWhole.cpp
+++ b/test/unit/SharedAnswerReachesEachReaderWhole.cpp
@@ -32,7 +32,7 @@
 // Guards P3 for shared runs: readers that join at any time and read at any pace get every byte once and in order.
 TEST_CASE("each reader of a shared answer gets the whole answer")
 {
-    rc::check([] {
+    CHECK(rc::check("readers of a shared answer", [] {
         const auto size = *rc::gen::inRange<std::size_t>(0, 3 * AnswerStream::sharedBytes);
         std::string answer(size, 'a');
         for (std::size_t index = 0; index < size; index += 997) {
@@ -42,7 +42,7 @@
         std::map<std::uint64_t, Reader> readers;
         std::map<std::uint64_t, std::size_t> consumed;
         std::uint64_t joined = 1;
-        REQUIRE(stream.addReader(1));
+        RC_ASSERT(stream.addReader(1));
         stream.setHead({ 200, {}, BodyFraming::ContentLength, size });
         std::size_t sent = 0;
         std::size_t credit = AnswerStream::windowBytes;
@@ -73,7 +73,7 @@
             RC_ASSERT(readers[request].complete == true);
             RC_ASSERT((readers[request].body == answer));
         }
-    });
+    }));
 }
 
 // Guards bounded memory: one caller that reads nothing must not make the agent hold a whole drawing.
