--- a/src/coordination/RequestPlacement.cpp
+++ b/src/coordination/RequestPlacement.cpp
@@ -55,7 +55,7 @@
     void updateOwnHost();
     void dispatch(TimePoint, const PeerIdentity& from, const wire::PeerMessage&);
     void dispatchKeys(TimePoint, const PeerIdentity& from, const wire::PeerMessage&);
-    void deliver(TimePoint, KeyMessages);
+    void deliver(TimePoint, const KeyMessages&);
     void claimSlots(TimePoint);
 
     void offerReceived(TimePoint, const PeerIdentity&, const wire::Offer&);
@@ -199,7 +199,7 @@
     }
 }
 
-void RequestPlacement::Implementation::deliver(TimePoint now, KeyMessages messages)
+void RequestPlacement::Implementation::deliver(TimePoint now, const KeyMessages& messages)
 {
     for (const KeyMessage& message : messages) {
         if (message.to == this->context.self) {
@@ -321,7 +321,7 @@
 {
     for (KeyMessages messages = this->holder.takeKeyMessages(); !messages.empty();
          messages = this->holder.takeKeyMessages()) {
-        this->deliver(now, std::move(messages));
+        this->deliver(now, messages);
     }
     this->holder.offerToOwnHost(now);
     this->claimSlots(now);
--- a/src/coordination/SlotScheduler.cpp
+++ b/src/coordination/SlotScheduler.cpp
@@ -27,6 +27,10 @@
     return (seed << 32U) + 1;
 }
 
+// A claim at another holder leaves the slot idle for a round trip, so own requests go first unless another holder's are
+// more urgent by this much.
+constexpr std::chrono::milliseconds ownPreference { 30 };
+
 SlotScheduler::TimePoint latestStart(const KnownOffer& offer) { return offer.deadline - offer.expectedRun; }
 
 }
@@ -57,6 +61,12 @@
     }
 }
 
+SlotScheduler::Urgency SlotScheduler::urgencyOf(const KnownOffer& offer) const
+{
+    const bool own = offer.key.holder == this->self;
+    return { latestStart(offer) - (own ? ownPreference : std::chrono::milliseconds(0)), offer.key };
+}
+
 std::set<SlotScheduler::Urgency>& SlotScheduler::openQueue(const KnownOffer& offer)
 {
     return offer.longRunning ? this->openLong : this->openShort;
@@ -72,17 +82,17 @@
         if (known.offer.longRunning == offer.longRunning && latestStart(known.offer) == latestStart(offer)) {
             return;
         }
-        this->openQueue(known.offer).erase({ latestStart(known.offer), offer.key });
+        this->openQueue(known.offer).erase(this->urgencyOf(known.offer));
         known.offer = offer;
     }
     if (!known.claimed) {
-        this->openQueue(offer).insert({ latestStart(offer), offer.key });
+        this->openQueue(offer).insert(this->urgencyOf(offer));
     }
 }
 
 SlotScheduler::OfferIterator SlotScheduler::eraseOffer(OfferIterator offer)
 {
-    this->openQueue(offer->second.offer).erase({ latestStart(offer->second.offer), offer->first });
+    this->openQueue(offer->second.offer).erase(this->urgencyOf(offer->second.offer));
     return this->offers.erase(offer);
 }
 
@@ -161,9 +171,9 @@
 
 const SlotScheduler::Offer* SlotScheduler::firstOpen(TimePoint now, const std::set<Urgency>& queue) const
 {
-    for (const auto& [start, key] : queue) {
+    for (const auto& [urgency, key] : queue) {
         const Offer& offer = this->offers.at(key);
-        if (start >= now && offer.notBefore <= now) {
+        if (latestStart(offer.offer) >= now && offer.notBefore <= now) {
             return &offer;
         }
     }
@@ -177,7 +187,7 @@
     // The last slot is left to short requests while any wait, so that they do not queue behind long ones.
     const bool longFull = this->longRuns + 1 >= this->usableSlots();
     if (bestShort != nullptr
-        && (bestLong == nullptr || longFull || latestStart(bestShort->offer) <= latestStart(bestLong->offer))) {
+        && (bestLong == nullptr || longFull || this->urgencyOf(bestShort->offer) <= this->urgencyOf(bestLong->offer))) {
         return bestShort->offer.key;
     }
     return bestLong == nullptr ? std::nullopt : std::optional(bestLong->offer.key);
@@ -187,7 +197,7 @@
 {
     const std::uint64_t claim = this->nextClaim++;
     offer.claimed = true;
-    this->openQueue(offer.offer).erase({ latestStart(offer.offer), offer.offer.key });
+    this->openQueue(offer.offer).erase(this->urgencyOf(offer.offer));
     this->active.emplace(claim, ActiveClaim { offer.offer.key, now, false, offer.offer.longRunning });
     this->longRuns += offer.offer.longRunning ? 1 : 0;
     return claim;
@@ -202,7 +212,7 @@
     const auto offer = this->offers.find(ended.key);
     if (offer != this->offers.end() && !ended.running) {
         offer->second.claimed = false;
-        this->openQueue(offer->second.offer).insert({ latestStart(offer->second.offer), ended.key });
+        this->openQueue(offer->second.offer).insert(this->urgencyOf(offer->second.offer));
     }
     return this->active.erase(claim);
 }
--- a/src/coordination/SlotScheduler.h
+++ b/src/coordination/SlotScheduler.h
@@ -126,10 +126,11 @@
         bool ran { false };
     };
 
-    using Urgency = std::pair<TimePoint, OfferKey>; // by latest start
+    using Urgency = std::pair<TimePoint, OfferKey>; // by latest start, own requests preferred
     using ActiveIterator = std::map<std::uint64_t, ActiveClaim>::iterator;
     using OfferIterator = std::map<OfferKey, Offer>::iterator;
 
+    Urgency urgencyOf(const KnownOffer&) const;
     std::set<Urgency>& openQueue(const KnownOffer&);
     const Offer* firstOpen(TimePoint, const std::set<Urgency>&) const;
     std::optional<OfferKey> bestOffer(TimePoint) const;
