Spread a holder's work evenly over hosts with free slots

Cause: a free own slot always went first, so hosts were as unevenly busy as connections are spread over holders. Each holder now counts the work that each host had from it (WorkShares) and offers to the least used peers first, 3 ms before its own host, when its own host had more and a peer has a slot.

--- a/src/coordination/OfferBook.cpp
+++ b/src/coordination/OfferBook.cpp
@@ -83,6 +83,12 @@
     return found == this->requests.end() ? nullptr : &found->second;
 }
 
+const HeldRequest* OfferBook::find(std::uint64_t request) const
+{
+    const auto found = this->requests.find(request);
+    return found == this->requests.end() ? nullptr : &found->second;
+}
+
 bool OfferBook::grant(TimePoint now, std::uint64_t request, const PeerIdentity& claimer, std::uint64_t claim)
 {
     HeldRequest* held = this->find(request);
--- a/src/coordination/OfferBook.h
+++ b/src/coordination/OfferBook.h
@@ -38,6 +38,8 @@
     std::set<PeerIdentity> offeredTo;
     std::set<std::string> failedOn; // instances whose backend server did not take the request
     std::chrono::steady_clock::time_point nextOffer; // to peers
+    std::optional<std::chrono::steady_clock::time_point> ownTurn; // the own host claims no earlier than this
+    std::chrono::microseconds grantedWork { 0 }; // counted for the claimer at the grant
 
     // Of the grant.
     PeerIdentity claimer;
@@ -60,6 +62,7 @@
     void makeShared(std::uint64_t request);
 
     HeldRequest* find(std::uint64_t request);
+    const HeldRequest* find(std::uint64_t request) const;
 
     // Grants the request to the claim when it waits; false otherwise. A request has at most one grant at any time.
     bool grant(TimePoint, std::uint64_t request, const PeerIdentity& claimer, std::uint64_t claim);
--- a/src/coordination/RequestHolder.cpp
+++ b/src/coordination/RequestHolder.cpp
@@ -28,6 +28,11 @@
 // Requests that a holder keeps in any state, including those that share an answer.
 constexpr std::size_t heldLimit = 20000;
 
+// When the own host had more of the holder's work than others, the least used peers are offered a request first. The
+// own host claims it after this time, a little more than an offer and its claim take between availability zones.
+constexpr milliseconds peersFirst { 3 };
+constexpr std::size_t firstOffers = 3;
+
 constexpr double retryShare = 0.05;
 constexpr double retryReserve = 10;
 
@@ -98,7 +103,7 @@
     struct Choice {
         PeerIdentity peer;
         bool free { false };
-        std::uint64_t tie { 0 };
+        microseconds share { 0 };
     };
     std::vector<Choice> choices;
     const std::vector<std::uint32_t>* hosts = this->hostsFor(held.description);
@@ -109,13 +114,14 @@
             || this->context.view->isDraining(host) || this->context.peers.find(host.name)->draining) {
             continue;
         }
-        const std::uint64_t tie = hostHash(host.name) ^ (held.description.request * 0x9E3779B97F4A7C15ULL);
-        choices.push_back({ *peer, this->context.peers.find(host.name)->freeSlots > 0, tie });
+        choices.push_back(
+            { *peer, this->context.peers.find(host.name)->freeSlots > 0, this->workShares.share(now, host.name) });
     }
     std::sort(choices.begin(), choices.end(), [](const Choice& left, const Choice& right) {
-        return left.free != right.free ? left.free : left.tie < right.tie;
+        return left.free != right.free ? left.free : left.share < right.share;
     });
-    choices.resize(std::min(choices.size(), offeredPeers));
+    const bool peersGoFirst = held.ownTurn && now < *held.ownTurn;
+    choices.resize(std::min(choices.size(), peersGoFirst ? firstOffers : offeredPeers));
     std::vector<PeerIdentity> chosen;
     chosen.reserve(choices.size());
     for (Choice& choice : choices) {
@@ -191,6 +197,18 @@
     }
 }
 
+bool RequestHolder::isOwnTurn(TimePoint now, const HeldRequest& held) const
+{
+    const microseconds ownShare = this->workShares.share(now, this->context.self.instance);
+    const std::vector<std::uint32_t>* hosts = this->hostsFor(held.description);
+    return hosts == nullptr || std::none_of(hosts->begin(), hosts->end(), [&](std::uint32_t index) {
+        const Host& host = this->context.view->configuration().hosts[index];
+        const PeerState* peer = this->context.peers.find(host.name);
+        return peer != nullptr && peer->freeSlots > 0 && this->context.peers.liveIdentity(now, host.name)
+            && this->mayRunOn(held, host.name) && this->workShares.share(now, host.name) < ownShare;
+    });
+}
+
 void RequestHolder::startWait(TimePoint now, HeldRequest& held)
 {
     if (!held.countedWaiting) {
@@ -225,9 +243,12 @@
         --this->ownRuns;
         this->slots.backendResult(now, result);
     }
+    const Host* host = this->context.view->hostByName(held->claimer.instance);
+    const microseconds runTime = duration_cast<microseconds>(now - held->granted);
+    this->workShares.add(now, held->claimer.instance, runTime - held->grantedWork, host != nullptr ? host->slots : 1);
     switch (result.outcome) {
     case RunOutcome::Completed:
-        this->statistics.runCompleted(held->description, duration_cast<microseconds>(now - held->granted));
+        this->statistics.runCompleted(held->description, runTime);
         this->complete(now, *held, result.status);
         break;
     case RunOutcome::NotRun:
@@ -296,6 +317,7 @@
     this->book.takeBack(held.description.request, held.claimer, held.claim);
     this->startWait(now, held);
     held.nextOffer = now;
+    held.ownTurn.reset();
     const std::vector<std::uint32_t>* hosts = this->hostsFor(held.description);
     const bool anyLeft = hosts != nullptr && std::any_of(hosts->begin(), hosts->end(), [&](std::uint32_t index) {
         return this->mayRunOn(held, this->context.view->configuration().hosts[index].name);
@@ -454,6 +476,9 @@
 
 void RequestHolder::granted(TimePoint now, HeldRequest& held)
 {
+    const Host* host = this->context.view->hostByName(held.claimer.instance);
+    held.grantedWork = std::max<microseconds>(held.expectedRun, milliseconds(1));
+    this->workShares.add(now, held.claimer.instance, held.grantedWork, host != nullptr ? host->slots : 1);
     this->endWait(now, held, true);
     if (held.attempt > 0) {
         return; // those that share its answer are known
@@ -505,9 +530,14 @@
         return;
     }
     for (const std::uint64_t request : this->book.mostUrgent(offerWindow)) {
-        const HeldRequest& held = *this->book.find(request);
+        HeldRequest& held = *this->book.find(request);
         const bool served = held.description.service == this->context.ownService;
-        if (served && held.deadline > now && this->mayRunOn(held, this->context.self.instance)) {
+        if (!held.ownTurn) {
+            held.ownTurn = this->slots.freeSlots() == 0 || this->isOwnTurn(now, held) ? now : now + peersFirst;
+            held.nextOffer = now;
+        }
+        if (served && now >= *held.ownTurn && held.deadline > now
+            && this->mayRunOn(held, this->context.self.instance)) {
             this->slots.offerReceived(now,
                 { { this->context.self, request }, held.description.service, held.deadline, held.expectedRun,
                     held.longRunning });
@@ -522,7 +552,8 @@
         if (now < held.nextOffer) {
             continue;
         }
-        held.nextOffer = now + offerRenewal;
+        const bool peersGoFirst = held.ownTurn && now < *held.ownTurn;
+        held.nextOffer = peersGoFirst ? *held.ownTurn : now + offerRenewal;
         for (const PeerIdentity& peer : this->peersFor(now, held)) {
             held.offeredTo.insert(peer);
             wire::Offer& offer = *this->context.send(peer).mutable_offer();
@@ -589,7 +620,11 @@
 
 TimePoint RequestHolder::nextTimeout() const
 {
-    return std::min(this->book.nextDeadline(), this->keyRequests.nextTimeout());
+    TimePoint next = std::min(this->book.nextDeadline(), this->keyRequests.nextTimeout());
+    for (const std::uint64_t request : this->book.mostUrgent(offerWindow)) {
+        next = std::min(next, this->book.find(request)->nextOffer);
+    }
+    return next;
 }
 
 }
--- a/src/coordination/RequestHolder.h
+++ b/src/coordination/RequestHolder.h
@@ -10,6 +10,7 @@
 #include "coordination/RunResult.h"
 #include "coordination/SharedRuns.h"
 #include "coordination/SlotScheduler.h"
+#include "coordination/WorkShares.h"
 
 #include <chrono>
 #include <cstddef>
@@ -67,7 +68,9 @@
     bool mayRunOn(const HeldRequest&, const std::string& instance) const;
     std::vector<PeerIdentity> peersFor(TimePoint, const HeldRequest&) const;
 
-    void enqueue(TimePoint, HeldRequest&);
+    // True when the own host has not had more of this holder's work than the peers, or no peer seems to have a free
+    // slot.
+    bool isOwnTurn(TimePoint, const HeldRequest&) const;
     void startWait(TimePoint, HeldRequest&);
     void endWait(TimePoint, HeldRequest&, bool started);
     void granted(TimePoint, HeldRequest&);
@@ -96,6 +99,7 @@
     SharedRuns sharedRuns;
     KeyRequests keyRequests;
     KeyMessages keyMessages;
+    WorkShares workShares;
     std::size_t ownRuns { 0 };
 };
 
