Let the least busy host claim long requests first

Cause: a holder places few long requests in 10 s, so equal shares of its own work say little about the hosts. Hosts now delay the claim of a long request by up to 40 ms in proportion to their busy time of the last 10 s; no host needs to know another's load.

--- a/src/coordination/RequestHolder.cpp
+++ b/src/coordination/RequestHolder.cpp
@@ -533,7 +533,8 @@
         HeldRequest& held = *this->book.find(request);
         const bool served = held.description.service == this->context.ownService;
         if (!held.ownTurn) {
-            held.ownTurn = this->slots.freeSlots() == 0 || this->isOwnTurn(now, held) ? now : now + peersFirst;
+            const bool atOnce = held.longRunning || this->slots.freeSlots() == 0 || this->isOwnTurn(now, held);
+            held.ownTurn = atOnce ? now : now + peersFirst;
             held.nextOffer = now;
         }
         if (served && now >= *held.ownTurn && held.deadline > now
--- a/src/coordination/SlotScheduler.cpp
+++ b/src/coordination/SlotScheduler.cpp
@@ -1,6 +1,7 @@
 #include "coordination/SlotScheduler.h"
 
 #include <algorithm>
+#include <cmath>
 #include <xxhash.h>
 
 namespace chicoryferry {
@@ -27,6 +28,13 @@
     return (seed << 32U) + 1;
 }
 
+// The delay of a claim for a long request by a host that was busy all the time. Differences of a few per cent in busy
+// time are to outlast the differences between message delays; long requests run at least several times longer.
+constexpr std::chrono::microseconds longestLongClaimDelay { 40000 };
+
+// Balance is measured over windows of 10 s.
+constexpr double busyMemorySeconds = 10;
+
 // A claim at another holder leaves the slot idle for a round trip, so own requests go first unless another holder's are
 // more urgent by this much.
 constexpr std::chrono::milliseconds ownPreference { 30 };
@@ -72,10 +80,27 @@
     return offer.longRunning ? this->openLong : this->openShort;
 }
 
+void SlotScheduler::accountBusyTime(TimePoint now)
+{
+    const double elapsed = std::max(0.0, std::chrono::duration<double>(now - this->busyMeasured).count());
+    const double kept = std::exp(-elapsed / busyMemorySeconds);
+    const double busyNow = static_cast<double>(this->active.size()) / std::max(1U, this->slots);
+    this->busyShare = kept * this->busyShare + (1 - kept) * busyNow;
+    this->busyMeasured = now;
+}
+
+std::chrono::microseconds SlotScheduler::longClaimDelay() const
+{
+    const double delay = static_cast<double>(longestLongClaimDelay.count()) * std::min(1.0, this->busyShare);
+    return std::chrono::microseconds(static_cast<std::int64_t>(delay));
+}
+
 void SlotScheduler::offerReceived(TimePoint now, const KnownOffer& offer)
 {
     this->latest = std::max(this->latest, now);
-    const auto [entry, added] = this->offers.try_emplace(offer.key, Offer { offer, now, now });
+    this->accountBusyTime(now);
+    const TimePoint notBefore = offer.longRunning ? now + this->longClaimDelay() : now;
+    const auto [entry, added] = this->offers.try_emplace(offer.key, Offer { offer, now, notBefore });
     Offer& known = entry->second;
     if (!added) {
         known.renewed = now;
@@ -195,6 +220,7 @@
 
 std::uint64_t SlotScheduler::startClaim(TimePoint now, Offer& offer)
 {
+    this->accountBusyTime(now);
     const std::uint64_t claim = this->nextClaim++;
     offer.claimed = true;
     this->openQueue(offer.offer).erase(this->urgencyOf(offer.offer));
@@ -205,6 +231,7 @@
 
 SlotScheduler::ActiveIterator SlotScheduler::release(ActiveIterator claim)
 {
+    this->accountBusyTime(this->latest);
     const ActiveClaim& ended = claim->second;
     this->longRuns -= ended.longRunning ? 1 : 0;
     this->past.emplace(claim->first, PastClaim { ended.key, ended.claimed, ended.running });
@@ -327,6 +354,12 @@
             next = std::min(next, record.claimed + grantValidity + std::chrono::milliseconds(1));
         }
     }
+    for (auto entry = this->openLong.begin(); entry != this->openLong.end() && this->freeSlots() > 0; ++entry) {
+        const TimePoint notBefore = this->offers.at(entry->second).notBefore;
+        if (notBefore > this->latest) {
+            next = std::min(next, notBefore);
+        }
+    }
     return next;
 }
 
--- a/src/coordination/SlotScheduler.h
+++ b/src/coordination/SlotScheduler.h
@@ -70,7 +70,8 @@
     void setClaiming(bool claiming);
     bool isClaiming() const { return this->claiming; }
 
-    // Adds or renews an offer.
+    // Adds or renews an offer. A new offer of a long request is claimed after a delay in proportion to the host's
+    // recent busy time, so that the least busy host claims first.
     void offerReceived(TimePoint, const KnownOffer&);
     void offerWithdrawn(const OfferKey&);
 
@@ -140,6 +141,8 @@
     void giveUpClaims(const std::function<bool(const ActiveClaim&)>& concerned);
     OfferIterator eraseOffer(OfferIterator);
     void rest(TimePoint, const OfferKey&);
+    void accountBusyTime(TimePoint);
+    std::chrono::microseconds longClaimDelay() const;
 
     PeerIdentity self;
     std::uint64_t nextClaim;
@@ -150,6 +153,8 @@
     std::chrono::milliseconds failurePause { 0 };
     bool claiming { true };
     TimePoint latest; // newest time seen
+    double busyShare { 0 }; // of the slots over the last seconds
+    TimePoint busyMeasured;
     TimePoint nextSweep;
     std::map<OfferKey, Offer> offers;
     std::set<Urgency> openShort; // offers that are not claimed
