--- a/src/coordination/SlotScheduler.cpp
+++ b/src/coordination/SlotScheduler.cpp
@@ -1,7 +1,6 @@
 #include "coordination/SlotScheduler.h"
 
 #include <algorithm>
-#include <cmath>
 #include <xxhash.h>
 
 namespace chicoryferry {
@@ -32,9 +31,6 @@
 // time are to outlast the differences between message delays; long requests run at least several times longer.
 constexpr std::chrono::microseconds longestLongClaimDelay { 40000 };
 
-// Balance is measured over windows of 10 s.
-constexpr double busyMemorySeconds = 10;
-
 // A claim at another holder leaves the slot idle for a round trip, so own requests go first unless another holder's are
 // more urgent by this much.
 constexpr std::chrono::milliseconds ownPreference { 30 };
@@ -80,25 +76,17 @@
     return offer.longRunning ? this->openLong : this->openShort;
 }
 
-void SlotScheduler::accountBusyTime(TimePoint now)
-{
-    const double elapsed = std::max(0.0, std::chrono::duration<double>(now - this->busyMeasured).count());
-    const double kept = std::exp(-elapsed / busyMemorySeconds);
-    const double busyNow = static_cast<double>(this->active.size()) / std::max(1U, this->slots);
-    this->busyShare = kept * this->busyShare + (1 - kept) * busyNow;
-    this->busyMeasured = now;
-}
-
 std::chrono::microseconds SlotScheduler::longClaimDelay() const
 {
-    const double delay = static_cast<double>(longestLongClaimDelay.count()) * std::min(1.0, this->busyShare);
+    const std::chrono::microseconds work = this->workShares.share(this->latest, this->self.instance);
+    const double share = std::chrono::duration<double>(work) / std::chrono::duration<double>(WorkShares::memory);
+    const double delay = static_cast<double>(longestLongClaimDelay.count()) * std::min(1.0, share);
     return std::chrono::microseconds(static_cast<std::int64_t>(delay));
 }
 
 void SlotScheduler::offerReceived(TimePoint now, const KnownOffer& offer)
 {
     this->latest = std::max(this->latest, now);
-    this->accountBusyTime(now);
     const TimePoint notBefore = offer.longRunning ? now + this->longClaimDelay() : now;
     const auto [entry, added] = this->offers.try_emplace(offer.key, Offer { offer, now, notBefore });
     Offer& known = entry->second;
@@ -220,19 +208,22 @@
 
 std::uint64_t SlotScheduler::startClaim(TimePoint now, Offer& offer)
 {
-    this->accountBusyTime(now);
+    this->workShares.add(now, this->self.instance, offer.offer.expectedRun, this->slots);
     const std::uint64_t claim = this->nextClaim++;
     offer.claimed = true;
     this->openQueue(offer.offer).erase(this->urgencyOf(offer.offer));
-    this->active.emplace(claim, ActiveClaim { offer.offer.key, now, false, offer.offer.longRunning });
+    this->active.emplace(
+        claim, ActiveClaim { offer.offer.key, now, false, offer.offer.longRunning, offer.offer.expectedRun });
     this->longRuns += offer.offer.longRunning ? 1 : 0;
     return claim;
 }
 
 SlotScheduler::ActiveIterator SlotScheduler::release(ActiveIterator claim)
 {
-    this->accountBusyTime(this->latest);
     const ActiveClaim& ended = claim->second;
+    const auto held = ended.running ? this->latest - ended.claimed : std::chrono::steady_clock::duration::zero();
+    const auto error = std::chrono::duration_cast<std::chrono::microseconds>(held) - ended.expectedRun;
+    this->workShares.add(this->latest, this->self.instance, error, this->slots);
     this->longRuns -= ended.longRunning ? 1 : 0;
     this->past.emplace(claim->first, PastClaim { ended.key, ended.claimed, ended.running });
     this->forgetting.emplace_back(this->latest + claimMemory, claim->first);
--- a/src/coordination/SlotScheduler.h
+++ b/src/coordination/SlotScheduler.h
@@ -2,6 +2,7 @@
 
 #include "coordination/PeerIdentity.h"
 #include "coordination/RunResult.h"
+#include "coordination/WorkShares.h"
 
 #include <chrono>
 #include <compare>
@@ -119,6 +120,7 @@
         TimePoint claimed;
         bool running { false };
         bool longRunning { false };
+        std::chrono::microseconds expectedRun { 0 };
     };
 
     struct PastClaim {
@@ -141,7 +143,6 @@
     void giveUpClaims(const std::function<bool(const ActiveClaim&)>& concerned);
     OfferIterator eraseOffer(OfferIterator);
     void rest(TimePoint, const OfferKey&);
-    void accountBusyTime(TimePoint);
     std::chrono::microseconds longClaimDelay() const;
 
     PeerIdentity self;
@@ -153,8 +154,7 @@
     std::chrono::milliseconds failurePause { 0 };
     bool claiming { true };
     TimePoint latest; // newest time seen
-    double busyShare { 0 }; // of the slots over the last seconds
-    TimePoint busyMeasured;
+    WorkShares workShares; // of this host alone, with the expected rest of its runs
     TimePoint nextSweep;
     std::map<OfferKey, Offer> offers;
     std::set<Urgency> openShort; // offers that are not claimed
--- a/src/coordination/WorkShares.cpp
+++ b/src/coordination/WorkShares.cpp
@@ -5,17 +5,10 @@
 
 namespace chicoryferry {
 
-namespace {
-
-// Balance is measured over windows of 10 s.
-constexpr double memorySeconds = 10;
-
-}
-
 double WorkShares::decayed(TimePoint now, const Work& work)
 {
     const double age = std::max(0.0, std::chrono::duration<double>(now - work.measured).count());
-    return work.microseconds * std::exp(-age / memorySeconds);
+    return work.microseconds * std::exp(-age / std::chrono::duration<double>(memory).count());
 }
 
 void WorkShares::add(TimePoint now, std::string_view host, std::chrono::microseconds work, unsigned slots)
--- a/src/coordination/WorkShares.h
+++ b/src/coordination/WorkShares.h
@@ -8,12 +8,15 @@
 
 namespace chicoryferry {
 
-// How much of a holder's work each host had of late. A holder that gives every host the same share keeps the hosts
+// How much work each host had of late. A holder that gives every host the same share keeps the hosts
 // equally busy, whatever they report and however unevenly connections are spread over the holders.
 class WorkShares {
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
 
+    // Time over which work is forgotten. Balance is measured over windows of 10 s.
+    static constexpr std::chrono::seconds memory { 10 };
+
     // Adds work granted to a host for each of its slots; negative when a run was shorter than expected.
     void add(TimePoint, std::string_view host, std::chrono::microseconds work, unsigned slots);
 
