Keep part of the queue free for the next caller; add unit tests by behaviour

Cause: with one caller in the queue its equal share was the whole queue, so a second caller was refused until the first one's backlog had drained. The share now counts one caller more than wait. Found by the unit test for the share.

--- a/src/coordination/AdmissionControl.cpp
+++ b/src/coordination/AdmissionControl.cpp
@@ -72,7 +72,8 @@
     if (needed > usable && wait.count() > 0) {
         return EarlyRefusal { "expected_wait", retryAfter };
     }
-    // The queue is as long as can be served within the deadline; from half of it each caller has an equal share.
+    // The queue is as long as can be served within the deadline; from half of it each caller has an equal share. One
+    // more caller than waits now is counted, so that a single caller cannot fill the queue for the next one.
     const Queue& queue = this->queues[isLong ? 1 : 0];
     const double fill
         = std::max(usable > 0 ? needed / usable : 1.0, static_cast<double>(this->waitingCount()) / queueLimit);
@@ -81,8 +82,8 @@
         return std::nullopt;
     }
     const double capacity = static_cast<double>(queue.waiting) / fill;
-    const double share = std::max(1.0, capacity / static_cast<double>(this->waitingByCaller.size()));
-    if (static_cast<double>(caller->second) >= share && this->waitingByCaller.size() > 1) {
+    const double share = std::max(1.0, capacity / static_cast<double>(this->waitingByCaller.size() + 1));
+    if (static_cast<double>(caller->second) >= share) {
         return EarlyRefusal { "caller_share", retryAfter };
     }
     return std::nullopt;
--- /dev/null
+++ b/test/unit/OverloadIsRefusedEarly.cpp
@@ -0,0 +1,79 @@
+#include "PlacementFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace chicoryferry;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+// Lets the holder learn that runs take 100 ms.
+void learn(PlacementFixture& fleet)
+{
+    fleet.settle();
+    for (std::uint64_t request = 1; request <= 20; ++request) {
+        fleet.arrive("host-0", request);
+        fleet.pass(milliseconds(100));
+        fleet.endRun(request, RunOutcome::Completed);
+        fleet.settle();
+    }
+    REQUIRE(fleet.runs().size() == 20);
+}
+
+}
+
+// Guards against callers that wait for their whole deadline to be refused in the end.
+TEST_CASE("a request whose expected wait exceeds its deadline is refused at once with Retry-After")
+{
+    PlacementFixture fleet(1, 1);
+    learn(fleet);
+    for (std::uint64_t request = 100; request < 200; ++request) {
+        RequestDescription description = fleet.describe(request);
+        description.caller.address = static_cast<std::uint32_t>(request);
+        fleet.arrive("host-0", description);
+    }
+    // 5 s are 50 runs of 100 ms.
+    REQUIRE(fleet.refusals().size() > 40);
+    CHECK(fleet.refusals().size() < 70);
+    CHECK(fleet.refusals()[0].reason == "expected_wait");
+    CHECK(fleet.refusals()[0].outcome == RunOutcome::NotRun);
+    CHECK(fleet.refusals()[0].retryAfter.count() > 0);
+}
+
+// Guards against one caller that fills the queue for all others.
+TEST_CASE("one caller cannot take more than its share once the queue is half full")
+{
+    PlacementFixture fleet(1, 1);
+    learn(fleet);
+    std::uint64_t request = 100;
+    RequestDescription other = fleet.describe(request++);
+    other.caller.address = 2;
+    fleet.arrive("host-0", other);
+    for (; request < 200; ++request) {
+        fleet.arrive("host-0", fleet.describe(request));
+    }
+    REQUIRE(!fleet.refusals().empty());
+    CHECK(fleet.refusals()[0].reason == "caller_share");
+    const std::size_t before = fleet.refusals().size();
+    other = fleet.describe(request++);
+    other.caller.address = 2;
+    fleet.arrive("host-0", other);
+    CHECK(fleet.refusals().size() == before);
+}
+
+// Guards against slots that are spent on answers which come too late.
+TEST_CASE("a request that cannot finish before its deadline is dropped before it takes a slot")
+{
+    PlacementFixture fleet(1, 1);
+    learn(fleet);
+    fleet.arrive("host-0", 100);
+    RequestDescription urgent = fleet.describe(101);
+    urgent.route.deadline = milliseconds(350);
+    fleet.arrive("host-0", urgent);
+    fleet.pass(milliseconds(300));
+    REQUIRE(fleet.refusals().size() == 1);
+    CHECK(fleet.refusals()[0].request == 101);
+    CHECK(fleet.refusals()[0].reason == "deadline_unreachable");
+    CHECK(fleet.runs().size() == 21);
+}
--- /dev/null
+++ b/test/unit/UnansweredGrantsAreUnknown.cpp
@@ -0,0 +1,117 @@
+#include "PlacementFixture.h"
+#include "coordination/RetryBudget.h"
+
+#include <doctest/doctest.h>
+
+using namespace chicoryferry;
+using std::chrono::seconds;
+
+namespace {
+
+// A request that only the peer can run, and that it runs.
+void placeOnPeer(PlacementFixture& fleet, const RequestDescription& description)
+{
+    fleet.settle();
+    fleet.startDraining("host-0");
+    fleet.settle();
+    fleet.arrive("host-0", description);
+    fleet.settle();
+    REQUIRE(fleet.runsOn("host-1") == 1);
+}
+
+RequestDescription notRepeatable(const PlacementFixture& fleet)
+{
+    RequestDescription description = fleet.describe(1);
+    description.method = "POST";
+    return description;
+}
+
+}
+
+// Guards P4: a claimer that restarted may have run the request.
+TEST_CASE("a request granted to a peer that restarts is unknown")
+{
+    PlacementFixture fleet(2, 1);
+    placeOnPeer(fleet, notRepeatable(fleet));
+    fleet.start("host-1", 2);
+    fleet.settle();
+    REQUIRE(fleet.refusals().size() == 1);
+    CHECK(fleet.refusals()[0].outcome == RunOutcome::Unknown);
+    CHECK(fleet.refusals()[0].reason == "claimer_restarted");
+}
+
+// Guards P4 and the holder's memory: silence ends in unknown, not in not-run and not in a wait without end.
+TEST_CASE("a request granted to a peer that falls silent is unknown by its deadline")
+{
+    PlacementFixture fleet(2, 1);
+    placeOnPeer(fleet, notRepeatable(fleet));
+    fleet.silenced["host-1"] = true;
+    fleet.pass(seconds(6));
+    REQUIRE(fleet.refusals().size() == 1);
+    CHECK(fleet.refusals()[0].outcome == RunOutcome::Unknown);
+    CHECK(fleet.placement("host-0").requestsInFlight() == 0);
+}
+
+// Guards against refusing a request that another host could still run, and against running it twice.
+TEST_CASE("a request that the claimer reports as not run goes to another host")
+{
+    PlacementFixture fleet(3, 1);
+    placeOnPeer(fleet, notRepeatable(fleet));
+    fleet.endRun(1, RunOutcome::NotRun);
+    fleet.settle();
+    CHECK(fleet.refusals().empty());
+    CHECK(fleet.runs().size() == 2);
+    CHECK(fleet.runsOn("host-2") == 1);
+}
+
+// Guards against offers to a peer that is not heard any more.
+TEST_CASE("a silent peer gets no offers")
+{
+    PlacementFixture fleet(2, 1);
+    fleet.settle();
+    fleet.silenced["host-1"] = true;
+    fleet.pass(seconds(2));
+    const int before = fleet.countSent(wire::PeerMessage::kOffer);
+    fleet.arrive("host-0", 1);
+    fleet.arrive("host-0", 2);
+    fleet.pass(seconds(1));
+    CHECK(fleet.countSent(wire::PeerMessage::kOffer) == before);
+}
+
+// Guards P4 after a retry: the first attempt may have run even if the second one never started.
+TEST_CASE("a repeated request that finds no slot again is refused as unknown")
+{
+    PlacementFixture fleet(2, 1);
+    fleet.settle();
+    for (std::uint64_t request = 1; request <= 25; ++request) {
+        fleet.arrive("host-0", request);
+        fleet.settle();
+        fleet.endRun(request, RunOutcome::Completed);
+    }
+    fleet.arrive("host-0", 26);
+    fleet.arrive("host-0", 27);
+    fleet.arrive("host-0", 28);
+    fleet.settle();
+    fleet.endRun(26, RunOutcome::Unknown);
+    CHECK(fleet.refusals().empty());
+    fleet.pass(seconds(6));
+    bool found = false;
+    for (const RefuseRequest& refusal : fleet.refusals()) {
+        found = found || refusal.request == 26;
+        CHECK((refusal.request != 26 || refusal.outcome == RunOutcome::Unknown));
+    }
+    CHECK(found);
+}
+
+// Guards against retries that multiply the load of a failing service.
+TEST_CASE("retries stay within their share of the requests")
+{
+    RetryBudget budget(0.05, 10);
+    int retries = 0;
+    for (int request = 0; request < 1000; ++request) {
+        budget.requestArrived();
+        retries += budget.takeRetry() ? 1 : 0;
+    }
+    CHECK(retries <= 50);
+    CHECK(retries >= 48);
+}
