--- a/test/standins/StandinsMain.cpp
+++ b/test/standins/StandinsMain.cpp
@@ -1,6 +1,8 @@
 #include "BackendStandin.h"
+#include "DocumentCommands.h"
 #include "NetworkStandin.h"
 #include "PlatformStandin.h"
+#include "ProxyStandin.h"
 
 #include <exception>
 #include <fmt/format.h>
@@ -18,8 +20,11 @@
 
 constexpr Standin standins[] = {
     { "backend", chicoryferry::standins::runBackendStandin },
+    { "fill-document", chicoryferry::standins::runFillDocument },
+    { "list-hosts", chicoryferry::standins::runListHosts },
     { "network", chicoryferry::standins::runNetworkStandin },
     { "platform", chicoryferry::runPlatformStandin },
+    { "proxy", chicoryferry::standins::runProxyStandin },
 };
 
 }
