--- a/src/coordination/SlotScheduler.cpp
+++ b/src/coordination/SlotScheduler.cpp
@@ -27,6 +27,14 @@
     return (seed << 32U) + 1;
 }
 
+// The delay of a claim for a long request by a host that was busy all the time. Differences of a few per cent in busy
+// time are to outlast the differences between message delays; long requests run at least several times longer.
+constexpr std::chrono::microseconds longestLongClaimDelay { 40000 };
+
+// A claim at another holder leaves the slot idle for a round trip, so own requests go first unless another holder's are
+// more urgent by this much.
+constexpr std::chrono::milliseconds ownPreference { 30 };
+
 SlotScheduler::TimePoint latestStart(const KnownOffer& offer) { return offer.deadline - offer.expectedRun; }
 
 }
@@ -57,32 +65,47 @@
     }
 }
 
+SlotScheduler::Urgency SlotScheduler::urgencyOf(const KnownOffer& offer) const
+{
+    const bool own = offer.key.holder == this->self;
+    return { latestStart(offer) - (own ? ownPreference : std::chrono::milliseconds(0)), offer.key };
+}
+
 std::set<SlotScheduler::Urgency>& SlotScheduler::openQueue(const KnownOffer& offer)
 {
     return offer.longRunning ? this->openLong : this->openShort;
 }
 
+std::chrono::microseconds SlotScheduler::longClaimDelay() const
+{
+    const std::chrono::microseconds work = this->workShares.share(this->latest, this->self.instance);
+    const double share = std::chrono::duration<double>(work) / std::chrono::duration<double>(WorkShares::memory);
+    const double delay = static_cast<double>(longestLongClaimDelay.count()) * std::min(1.0, share);
+    return std::chrono::microseconds(static_cast<std::int64_t>(delay));
+}
+
 void SlotScheduler::offerReceived(TimePoint now, const KnownOffer& offer)
 {
     this->latest = std::max(this->latest, now);
-    const auto [entry, added] = this->offers.try_emplace(offer.key, Offer { offer, now, now });
+    const TimePoint notBefore = offer.longRunning ? now + this->longClaimDelay() : now;
+    const auto [entry, added] = this->offers.try_emplace(offer.key, Offer { offer, now, notBefore });
     Offer& known = entry->second;
     if (!added) {
         known.renewed = now;
         if (known.offer.longRunning == offer.longRunning && latestStart(known.offer) == latestStart(offer)) {
             return;
         }
-        this->openQueue(known.offer).erase({ latestStart(known.offer), offer.key });
+        this->openQueue(known.offer).erase(this->urgencyOf(known.offer));
         known.offer = offer;
     }
     if (!known.claimed) {
-        this->openQueue(offer).insert({ latestStart(offer), offer.key });
+        this->openQueue(offer).insert(this->urgencyOf(offer));
     }
 }
 
 SlotScheduler::OfferIterator SlotScheduler::eraseOffer(OfferIterator offer)
 {
-    this->openQueue(offer->second.offer).erase({ latestStart(offer->second.offer), offer->first });
+    this->openQueue(offer->second.offer).erase(this->urgencyOf(offer->second.offer));
     return this->offers.erase(offer);
 }
 
@@ -161,9 +184,9 @@
 
 const SlotScheduler::Offer* SlotScheduler::firstOpen(TimePoint now, const std::set<Urgency>& queue) const
 {
-    for (const auto& [start, key] : queue) {
+    for (const auto& [urgency, key] : queue) {
         const Offer& offer = this->offers.at(key);
-        if (start >= now && offer.notBefore <= now) {
+        if (latestStart(offer.offer) >= now && offer.notBefore <= now) {
             return &offer;
         }
     }
@@ -177,7 +200,7 @@
     // The last slot is left to short requests while any wait, so that they do not queue behind long ones.
     const bool longFull = this->longRuns + 1 >= this->usableSlots();
     if (bestShort != nullptr
-        && (bestLong == nullptr || longFull || latestStart(bestShort->offer) <= latestStart(bestLong->offer))) {
+        && (bestLong == nullptr || longFull || this->urgencyOf(bestShort->offer) <= this->urgencyOf(bestLong->offer))) {
         return bestShort->offer.key;
     }
     return bestLong == nullptr ? std::nullopt : std::optional(bestLong->offer.key);
@@ -185,10 +208,12 @@
 
 std::uint64_t SlotScheduler::startClaim(TimePoint now, Offer& offer)
 {
+    this->workShares.add(now, this->self.instance, offer.offer.expectedRun, this->slots);
     const std::uint64_t claim = this->nextClaim++;
     offer.claimed = true;
-    this->openQueue(offer.offer).erase({ latestStart(offer.offer), offer.offer.key });
-    this->active.emplace(claim, ActiveClaim { offer.offer.key, now, false, offer.offer.longRunning });
+    this->openQueue(offer.offer).erase(this->urgencyOf(offer.offer));
+    this->active.emplace(
+        claim, ActiveClaim { offer.offer.key, now, false, offer.offer.longRunning, offer.offer.expectedRun });
     this->longRuns += offer.offer.longRunning ? 1 : 0;
     return claim;
 }
@@ -196,13 +221,16 @@
 SlotScheduler::ActiveIterator SlotScheduler::release(ActiveIterator claim)
 {
     const ActiveClaim& ended = claim->second;
+    const auto held = ended.running ? this->latest - ended.claimed : std::chrono::steady_clock::duration::zero();
+    const auto error = std::chrono::duration_cast<std::chrono::microseconds>(held) - ended.expectedRun;
+    this->workShares.add(this->latest, this->self.instance, error, this->slots);
     this->longRuns -= ended.longRunning ? 1 : 0;
     this->past.emplace(claim->first, PastClaim { ended.key, ended.claimed, ended.running });
     this->forgetting.emplace_back(this->latest + claimMemory, claim->first);
     const auto offer = this->offers.find(ended.key);
     if (offer != this->offers.end() && !ended.running) {
         offer->second.claimed = false;
-        this->openQueue(offer->second.offer).insert({ latestStart(offer->second.offer), ended.key });
+        this->openQueue(offer->second.offer).insert(this->urgencyOf(offer->second.offer));
     }
     return this->active.erase(claim);
 }
@@ -317,6 +345,12 @@
             next = std::min(next, record.claimed + grantValidity + std::chrono::milliseconds(1));
         }
     }
+    for (auto entry = this->openLong.begin(); entry != this->openLong.end() && this->freeSlots() > 0; ++entry) {
+        const TimePoint notBefore = this->offers.at(entry->second).notBefore;
+        if (notBefore > this->latest) {
+            next = std::min(next, notBefore);
+        }
+    }
     return next;
 }
 
--- a/src/coordination/SlotScheduler.h
+++ b/src/coordination/SlotScheduler.h
@@ -2,6 +2,7 @@
 
 #include "coordination/PeerIdentity.h"
 #include "coordination/RunResult.h"
+#include "coordination/WorkShares.h"
 
 #include <chrono>
 #include <compare>
@@ -70,7 +71,8 @@
     void setClaiming(bool claiming);
     bool isClaiming() const { return this->claiming; }
 
-    // Adds or renews an offer.
+    // Adds or renews an offer. A new offer of a long request is claimed after a delay in proportion to the host's
+    // recent busy time, so that the least busy host claims first.
     void offerReceived(TimePoint, const KnownOffer&);
     void offerWithdrawn(const OfferKey&);
 
@@ -118,6 +120,7 @@
         TimePoint claimed;
         bool running { false };
         bool longRunning { false };
+        std::chrono::microseconds expectedRun { 0 };
     };
 
     struct PastClaim {
@@ -126,10 +129,11 @@
         bool ran { false };
     };
 
-    using Urgency = std::pair<TimePoint, OfferKey>; // by latest start
+    using Urgency = std::pair<TimePoint, OfferKey>; // by latest start, own requests preferred
     using ActiveIterator = std::map<std::uint64_t, ActiveClaim>::iterator;
     using OfferIterator = std::map<OfferKey, Offer>::iterator;
 
+    Urgency urgencyOf(const KnownOffer&) const;
     std::set<Urgency>& openQueue(const KnownOffer&);
     const Offer* firstOpen(TimePoint, const std::set<Urgency>&) const;
     std::optional<OfferKey> bestOffer(TimePoint) const;
@@ -139,6 +143,7 @@
     void giveUpClaims(const std::function<bool(const ActiveClaim&)>& concerned);
     OfferIterator eraseOffer(OfferIterator);
     void rest(TimePoint, const OfferKey&);
+    std::chrono::microseconds longClaimDelay() const;
 
     PeerIdentity self;
     std::uint64_t nextClaim;
@@ -149,6 +154,7 @@
     std::chrono::milliseconds failurePause { 0 };
     bool claiming { true };
     TimePoint latest; // newest time seen
+    WorkShares workShares; // of this host alone, with the expected rest of its runs
     TimePoint nextSweep;
     std::map<OfferKey, Offer> offers;
     std::set<Urgency> openShort; // offers that are not claimed
