--- a/src/coordination/DistributionNode.cpp
+++ b/src/coordination/DistributionNode.cpp
@@ -243,7 +243,10 @@
         return actions;
     }
     if (sameVersion && report.confirmationAge) {
-        const TimePoint latest = question->sentAt + heartbeatInterval + travelLimit;
+        // Single questions count from their sending: they pass between peers in circles, and a gain of one travel time
+        // on each pass would make a confirmation younger without end. A parent also sends between two questions.
+        const Duration allowance = question->once ? Duration(0) : Duration(heartbeatInterval + travelLimit);
+        const TimePoint latest = question->sentAt + allowance;
         const TimePoint confirmation = std::min(now, latest) - *report.confirmationAge;
         this->followReport(now, peer, confirmation, actions);
         this->confirm(now, confirmation, actions);
@@ -420,7 +423,7 @@
         this->peerHeard = now;
     }
     const std::uint64_t sequence = this->nextSequence++;
-    this->questions[sequence % this->questions.size()] = { sequence, peer, now };
+    this->questions[sequence % this->questions.size()] = { sequence, peer, now, once };
     const bool wholeConfiguration = std::exchange(this->wantWhole[indexOf(DocumentKind::Configuration)], false);
     const bool wholeInstances = std::exchange(this->wantWhole[indexOf(DocumentKind::Instances)], false);
     actions.push_back(SendSubscribe { peer, sequence, once, wholeConfiguration, wholeInstances });
--- a/src/coordination/DistributionNode.h
+++ b/src/coordination/DistributionNode.h
@@ -109,6 +109,7 @@
         std::uint64_t sequence { 0 };
         Endpoint peer;
         TimePoint sentAt;
+        bool once { false };
     };
 
     struct PlatformDuty {
--- a/src/transport/PlatformClient.h
+++ b/src/transport/PlatformClient.h
@@ -14,9 +14,6 @@
 class PlatformClient {
 public:
     explicit PlatformClient(const Endpoint& platform);
-    ~PlatformClient();
-    PlatformClient(const PlatformClient&) = delete;
-    PlatformClient& operator=(const PlatformClient&) = delete;
 
     // Returns the document when its version is above `after`, or nothing when none appeared within the wait. Blocks
     // for the wait and answerTimeout at most. Throws UserError with the step and the platform's address when the
--- /dev/null
+++ b/test/unit/PartitionJoinsAtHighestVersion.cpp
@@ -0,0 +1,39 @@
+#include "ExchangeNetwork.h"
+
+#include <doctest/doctest.h>
+
+using namespace chicoryferry;
+using namespace chicoryferry::testing;
+using namespace std::chrono_literals;
+
+// Guards against parts that stay apart after a partition, or that join at the lower version.
+TEST_CASE("parts of a partition keep their versions and join at the highest while the platform is down")
+{
+    ExchangeNetwork network(12, 4);
+    network.publishConfiguration(1, 2);
+    network.run(4s);
+    network.outage = true;
+    for (std::size_t index = 4; index < network.size(); ++index) {
+        network.member(index).part = 1;
+    }
+    // The platform serves the first zone for a moment before it fails there as well.
+    network.publishConfiguration(2, 3);
+    for (std::size_t index = 4; index < network.size(); ++index) {
+        network.member(index).paused = true;
+    }
+    network.outage = false;
+    network.run(2s);
+    network.outage = true;
+    for (std::size_t index = 4; index < network.size(); ++index) {
+        network.member(index).paused = false;
+    }
+    network.run(300s);
+    CHECK(network.member(0).configurationVersion() == 2);
+    CHECK(network.member(4).configurationVersion() == 1);
+
+    for (std::size_t index = 4; index < network.size(); ++index) {
+        network.member(index).part = 0;
+    }
+    network.run(13s);
+    CHECK(network.membersWithout(2).empty());
+}
--- /dev/null
+++ b/test/unit/RefusedDocumentsChangeNothing.cpp
@@ -0,0 +1,49 @@
+#include "ExchangeNetwork.h"
+
+#include <doctest/doctest.h>
+
+using namespace chicoryferry;
+using namespace chicoryferry::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string withFault(std::string text)
+{
+    const std::size_t slots = text.find("\"slots\":2");
+    return text.replace(slots, 9, "\"slots\":0");
+}
+
+}
+
+// Guards P10: a faulty document must neither be taken in part nor keep the next sound one from being read.
+TEST_CASE("an invalid document is refused with the path of its fault, and the next version is taken")
+{
+    ExchangeNetwork network(4, 4);
+    network.publishConfiguration(1, 2);
+    network.run(4s);
+    const std::uint64_t callsBefore = network.platformCalls;
+    network.publish(DocumentKind::Configuration, withFault(configurationText(2, 9)), 2);
+    network.run(10s);
+    CHECK(network.membersWithout(1).empty());
+    CHECK(network.platformCalls - callsBefore < 60);
+
+    network.publishConfiguration(3, 5);
+    network.run(5s);
+    CHECK(network.membersWithout(3).empty());
+}
+
+TEST_CASE("the store names the fault and keeps the version in force")
+{
+    const auto now = std::chrono::steady_clock::time_point(1h);
+    ConfigurationStore store;
+    store.offerText(now, DocumentKind::Configuration, configurationText(1, 2));
+    const StoreResult result = store.offerText(now, DocumentKind::Configuration, withFault(configurationText(2, 3)));
+    CHECK(result.outcome == StoreOutcome::Invalid);
+    REQUIRE(result.faults.size() == 1);
+    CHECK(result.faults[0].path == "/hosts/0/slots");
+    CHECK(store.version(DocumentKind::Configuration) == 1);
+    CHECK(store.offerText(now, DocumentKind::Configuration, "{").outcome == StoreOutcome::Invalid);
+    CHECK(store.offerText(now, DocumentKind::Configuration, std::string(1'000'001, ' ')).outcome
+        == StoreOutcome::Invalid);
+}
