--- a/src/protocol/ConfigurationDocument.cpp
+++ b/src/protocol/ConfigurationDocument.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/ConfigurationError.h"
 #include "protocol/DocumentReader.h"
+#include "protocol/LabelIndex.h"
 #include "support/Error.h"
 
 #include <algorithm>
@@ -184,16 +185,17 @@
 // A backend server serves one service, so that no label can route one service's requests to another's server.
 void checkOneServicePerHost(const Configuration& configuration, std::vector<ConfigurationFault>& faults)
 {
-    for (std::size_t index = 0; index < configuration.hosts.size(); ++index) {
-        std::set<std::string> services;
-        for (const Binding& binding : configuration.bindings) {
-            if (binding.selector.matches(configuration.hosts[index].labels)) {
-                services.insert(binding.service);
-            }
+    const LabelIndex labels(configuration.hosts);
+    std::vector<std::set<std::string>> servicesOfHost(configuration.hosts.size());
+    for (const Binding& binding : configuration.bindings) {
+        for (const std::uint32_t host : labels.select(binding.selector)) {
+            servicesOfHost[host].insert(binding.service);
         }
-        if (services.size() > 1) {
+    }
+    for (std::size_t index = 0; index < servicesOfHost.size(); ++index) {
+        if (servicesOfHost[index].size() > 1) {
             faults.push_back({ fmt::format("/hosts/{}/labels", index),
-                fmt::format("selected for several services: {}", fmt::join(services, ", ")) });
+                fmt::format("selected for several services: {}", fmt::join(servicesOfHost[index], ", ")) });
         }
     }
 }
--- a/src/state/ConfigurationView.cpp
+++ b/src/state/ConfigurationView.cpp
@@ -1,5 +1,7 @@
 #include "state/ConfigurationView.h"
 
+#include "protocol/LabelIndex.h"
+
 #include <algorithm>
 
 namespace chicoryferry {
@@ -13,22 +15,30 @@
     return (std::uint64_t { endpoint.address } << 16U) | endpoint.port;
 }
 
-std::vector<BoundHosts> bindHosts(const Configuration& configuration, const Service& service)
+// [service][caller group]
+std::vector<std::vector<BoundHosts>> bindHosts(const Configuration& configuration)
 {
-    std::vector<BoundHosts> byGroup(configuration.callerGroups.size());
-    for (std::size_t group = 0; group < byGroup.size(); ++group) {
-        for (const Binding& binding : configuration.bindings) {
-            if (binding.service != service.name || binding.callers != configuration.callerGroups[group].name) {
-                continue;
-            }
-            for (std::uint32_t host = 0; host < configuration.hosts.size(); ++host) {
-                if (binding.selector.matches(configuration.hosts[host].labels)) {
-                    byGroup[group].hosts.push_back(host);
-                }
-            }
+    std::unordered_map<std::string_view, std::size_t> services;
+    for (std::size_t index = 0; index < configuration.services.size(); ++index) {
+        services.emplace(configuration.services[index].name, index);
+    }
+    std::unordered_map<std::string_view, std::size_t> groups;
+    for (std::size_t index = 0; index < configuration.callerGroups.size(); ++index) {
+        groups.emplace(configuration.callerGroups[index].name, index);
+    }
+    std::vector<std::vector<BoundHosts>> bound(
+        configuration.services.size(), std::vector<BoundHosts>(configuration.callerGroups.size()));
+    const LabelIndex labels(configuration.hosts);
+    for (const Binding& binding : configuration.bindings) {
+        const auto service = services.find(binding.service);
+        const auto group = groups.find(binding.callers);
+        if (service != services.end() && group != groups.end()) {
+            const std::vector<std::uint32_t> selected = labels.select(binding.selector);
+            std::vector<std::uint32_t>& hosts = bound[service->second][group->second].hosts;
+            hosts.insert(hosts.end(), selected.begin(), selected.end());
         }
     }
-    return byGroup;
+    return bound;
 }
 
 BoundHosts mergeHosts(const std::vector<BoundHosts>& byGroup)
@@ -49,6 +59,7 @@
     : current(std::move(configuration))
     , instanceList(std::move(instances))
     , previous(std::move(previousVersions))
+    , boundHosts(bindHosts(*this->current))
     , serviceOfHostIndex(this->current->hosts.size(), -1)
 {
     for (std::uint32_t host = 0; host < this->current->hosts.size(); ++host) {
@@ -62,8 +73,7 @@
         const Service& service = this->current->services[index];
         this->serviceIndexByEndpoint.emplace(endpointKey(service.endpoint), index);
         this->serviceIndexById.emplace(service.id, index);
-        this->boundHosts.push_back(bindHosts(*this->current, service));
-        this->serviceHosts.push_back(mergeHosts(this->boundHosts.back()));
+        this->serviceHosts.push_back(mergeHosts(this->boundHosts[index]));
         for (const std::uint32_t host : this->serviceHosts.back().hosts) {
             this->serviceOfHostIndex[host] = static_cast<std::int32_t>(index);
         }
