--- a/bench/DistributionBench.cpp
+++ b/bench/DistributionBench.cpp
@@ -266,7 +266,7 @@
         envelope.to = to;
         const std::size_t travel = sender.region == this->members[to].region ? nearSteps : farSteps;
         const std::size_t delay = travel + (envelope.kind == Envelope::Kind::Update ? applySteps : 0);
-        this->wheel[(this->stepCount + delay) % wheelSlots].push_back(std::move(envelope));
+        this->wheel[(this->stepCount + delay) % wheelSlots].push_back(envelope);
     }
 
     void deliver(const Envelope& envelope)
@@ -576,8 +576,9 @@
     simulation.resetCounters();
     const double unlisted = simulation.settle(std::chrono::seconds(60));
     const double calls = static_cast<double>(simulation.platformCalls) / unlisted;
-    printGoal(fmt::format("return of its {} members, not listed yet", lost.size()), "13 s",
-        fmt::format("{:.2f} s until all are ready, {:.0f} platform calls/s", unlisted, calls), unlisted <= 13);
+    const std::string what = fmt::format("return of its {} members, not listed yet", lost.size());
+    printGoal(what + ", until all are ready", "13 s", fmt::format("{:.2f} s", unlisted), unlisted <= 13);
+    printGoal(what + ", platform calls", "2,000/s", fmt::format("{:.0f}/s", calls), calls <= 2000);
     simulation.publishList();
     simulation.run(std::chrono::seconds(10));
 }
--- a/src/state/DocumentPatch.cpp
+++ b/src/state/DocumentPatch.cpp
@@ -104,14 +104,22 @@
     if (!before.is_object() || !after.is_object()) {
         return Json::diff(before, after);
     }
-    Json oldRest = before;
-    Json newRest = after;
+    Json oldRest = Json::object();
+    Json newRest = Json::object();
     for (const auto& [field, value] : before.items()) {
         const auto other = after.find(field);
-        if (value.is_array() && other != after.end() && other->is_array()
-            && appendNamedArray(patch, value, *other, "/" + field)) {
-            oldRest.erase(field);
-            newRest.erase(field);
+        const bool arrays = value.is_array() && other != after.end() && other->is_array();
+        if (arrays && appendNamedArray(patch, value, *other, "/" + field)) {
+            continue;
+        }
+        oldRest[field] = value;
+        if (other != after.end()) {
+            newRest[field] = *other;
+        }
+    }
+    for (const auto& [field, value] : after.items()) {
+        if (!before.contains(field)) {
+            newRest[field] = value;
         }
     }
     append(patch, Json::diff(oldRest, newRest));
