--- a/src/protocol/ConfigurationDocument.cpp
+++ b/src/protocol/ConfigurationDocument.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/ConfigurationError.h"
 #include "protocol/DocumentReader.h"
+#include "protocol/LabelIndex.h"
 #include "support/Error.h"
 
 #include <algorithm>
@@ -16,6 +17,8 @@
 
 namespace {
 
+constexpr const char* checkStep = "check configuration";
+
 constexpr std::uint64_t largestNumber = std::numeric_limits<std::int64_t>::max();
 constexpr std::uint64_t mostSlots = 4096;
 constexpr std::uint64_t mostConnections = 65535;
@@ -184,16 +187,17 @@
 // A backend server serves one service, so that no label can route one service's requests to another's server.
 void checkOneServicePerHost(const Configuration& configuration, std::vector<ConfigurationFault>& faults)
 {
-    for (std::size_t index = 0; index < configuration.hosts.size(); ++index) {
-        std::set<std::string> services;
-        for (const Binding& binding : configuration.bindings) {
-            if (binding.selector.matches(configuration.hosts[index].labels)) {
-                services.insert(binding.service);
-            }
+    const LabelIndex labels(configuration.hosts);
+    std::vector<std::set<std::string>> servicesOfHost(configuration.hosts.size());
+    for (const Binding& binding : configuration.bindings) {
+        for (const std::uint32_t host : labels.select(binding.selector)) {
+            servicesOfHost[host].insert(binding.service);
         }
-        if (services.size() > 1) {
+    }
+    for (std::size_t index = 0; index < servicesOfHost.size(); ++index) {
+        if (servicesOfHost[index].size() > 1) {
             faults.push_back({ fmt::format("/hosts/{}/labels", index),
-                fmt::format("selected for several services: {}", fmt::join(services, ", ")) });
+                fmt::format("selected for several services: {}", fmt::join(servicesOfHost[index], ", ")) });
         }
     }
 }
@@ -223,18 +227,22 @@
 
 Configuration parseConfiguration(std::string_view text)
 {
-    const std::string step = "check configuration";
     if (text.size() > maximumDocumentBytes) {
-        throw ConfigurationError(step,
+        throw ConfigurationError(checkStep,
             { { "", fmt::format("document has {} bytes; accepted: at most {}", text.size(), maximumDocumentBytes) } });
     }
-    std::vector<ConfigurationFault> faults;
     nlohmann::json document;
     try {
         document = nlohmann::json::parse(text);
     } catch (const nlohmann::json::parse_error& error) {
-        throw ConfigurationError(step, { { "", error.what() } });
+        throw ConfigurationError(checkStep, { { "", error.what() } });
     }
+    return checkConfiguration(document);
+}
+
+Configuration checkConfiguration(const nlohmann::json& document)
+{
+    std::vector<ConfigurationFault> faults;
     DocumentReader reader(document, "", faults);
     Configuration configuration = readConfiguration(reader);
     // Relations between elements are checked only when the elements themselves are sound.
@@ -244,7 +252,7 @@
         checkOneServicePerHost(configuration, faults);
     }
     if (!faults.empty()) {
-        throw ConfigurationError(step, std::move(faults));
+        throw ConfigurationError(checkStep, std::move(faults));
     }
     return configuration;
 }
