--- a/test/integration/Cluster.cpp
+++ b/test/integration/Cluster.cpp
@@ -395,6 +395,11 @@
         this->proxyControl, "PUT", "/control/rules", { { "seed", this->plan.seed }, { "rules", rules } });
 }
 
+nlohmann::json Cluster::proxyCounts() const
+{
+    return controlRequest(this->proxyControl, "GET", "/control/counts", nullptr);
+}
+
 nlohmann::json Cluster::runs() const
 {
     nlohmann::json all = nlohmann::json::array();
--- a/test/integration/Cluster.h
+++ b/test/integration/Cluster.h
@@ -75,6 +75,7 @@
         const std::string& method, const std::string& path, const nlohmann::json& body) const;
     void setBackend(const std::string& host, const nlohmann::json& settings);
     // Replaces the rules of the proxy stand-in (see ProxyRules).
+    nlohmann::json proxyCounts() const;
     nlohmann::json setProxyRules(const nlohmann::json& rules) const;
 
     // The records of every backend server that was ever started.
--- a/test/integration/LostAgentRunsNothingTwice.cpp
+++ b/test/integration/LostAgentRunsNothingTwice.cpp
@@ -18,6 +18,9 @@
 constexpr std::chrono::milliseconds faultTime { 1500 };
 constexpr std::chrono::milliseconds calmTime { 500 };
 
+// Callers give up after this long, so that those of a killed agent go on within the test.
+constexpr std::chrono::seconds callTimeout { 6 };
+
 // The messages that go over the wire at each step. A rule that holds them up makes the fault strike at that step.
 struct Step {
     std::string name;
@@ -28,13 +31,24 @@
     { "offer", { "offer", "offer_withdrawn" } },
     { "claim", { "claim", "claim_rejected", "key_acquire", "key_answer" } },
     { "grant", { "grant", "grant_expired", "not_run" } },
-    { "run", { "request_body", "request_credit", "cancel" } },
+    { "run", { "heartbeat", "cancel" } },
     { "answer", { "answer_head", "answer_body", "answer_end", "key_finish" } },
 };
 
+// A fault that strikes no message would prove nothing.
+std::uint64_t messagesMet(const Cluster& cluster)
+{
+    std::uint64_t met = 0;
+    const nlohmann::json counts = cluster.proxyCounts();
+    for (const nlohmann::json& rule : counts.at("rules")) {
+        met += rule.at("dropped").get<std::uint64_t>() + rule.at("passed").get<std::uint64_t>();
+    }
+    return met;
+}
+
 struct Load {
     explicit Load(Cluster& cluster)
-        : traffic(cluster, history, std::chrono::seconds(20))
+        : traffic(cluster, history, callTimeout)
     {
         // Run times and the number of callers keep the six slots busy, so that hosts claim each other's requests.
         this->traffic.addBenches(12, 1, std::chrono::milliseconds(2), 0.3, "25ms");
@@ -77,6 +91,7 @@
     for (const Step& step : steps) {
         cluster.setProxyRules({ { { "kinds", step.kinds }, { "drop", 0.5 } } });
         std::this_thread::sleep_for(faultTime);
+        CHECK_MESSAGE(messagesMet(cluster) > 0, step.name);
         cluster.setProxyRules(nlohmann::json::array());
         std::this_thread::sleep_for(calmTime);
     }
@@ -95,6 +110,7 @@
         cluster.pause(agent);
         std::this_thread::sleep_for(faultTime);
         cluster.resume(agent);
+        CHECK_MESSAGE(messagesMet(cluster) > 0, step.name);
         cluster.setProxyRules(nlohmann::json::array());
         std::this_thread::sleep_for(calmTime);
     }
@@ -112,6 +128,7 @@
         std::this_thread::sleep_for(calmTime);
         cluster.host(name).agent->send(SIGKILL);
         std::this_thread::sleep_for(faultTime);
+        CHECK_MESSAGE(messagesMet(cluster) > 0, step.name);
         cluster.setProxyRules(nlohmann::json::array());
         cluster.addHost({ name, "job", fmt::format("dar-{}", 1 + number % 3) });
         cluster.waitForVersion(cluster.publish());
--- a/test/standins/MessageFrames.cpp
+++ b/test/standins/MessageFrames.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr std::size_t greetingBytes = 64;
 constexpr unsigned longFlag = 0x02;
 constexpr unsigned commandFlag = 0x04;
 
@@ -37,14 +36,12 @@
 std::optional<MessageFrames::Frame> MessageFrames::next()
 {
     Frame frame;
-    if (!this->greetingSeen) {
-        if (this->pending.size() < greetingBytes) {
-            return std::nullopt;
-        }
-        this->greetingSeen = true;
-        frame.bytes = this->pending.substr(0, greetingBytes);
-        this->pending.erase(0, greetingBytes);
-        return frame;
+    if (this->greetingLeft > 0) {
+        // Passed on as it comes: each side waits for the first bytes of the other before it sends the rest.
+        frame.bytes = this->pending.substr(0, this->greetingLeft);
+        this->greetingLeft -= frame.bytes.size();
+        this->pending.erase(0, frame.bytes.size());
+        return frame.bytes.empty() ? std::nullopt : std::optional<Frame>(frame);
     }
     if (this->pending.size() < 2) {
         return std::nullopt;
--- a/test/standins/MessageFrames.h
+++ b/test/standins/MessageFrames.h
@@ -17,12 +17,14 @@
 
     void append(const char* data, std::size_t length) { this->pending.append(data, length); }
 
-    // The next whole frame.
+    // The next whole frame, or what there is of the greeting.
     std::optional<Frame> next();
 
 private:
+    static constexpr std::size_t greetingBytes = 64;
+
     std::string pending;
-    bool greetingSeen { false };
+    std::size_t greetingLeft { greetingBytes };
 };
 
 }
