--- a/test/integration/Cluster.cpp
+++ b/test/integration/Cluster.cpp
@@ -68,7 +68,10 @@
 nlohmann::json controlRequest(
     const Endpoint& endpoint, const std::string& method, const std::string& path, const nlohmann::json& body)
 {
-    const HttpAnswer answer = requestOnce(endpoint, method, path, body.is_null() ? "" : body.dump());
+    const HttpAnswer answer = requestOnce(endpoint, method, path,
+        body.is_null()         ? ""
+            : body.is_string() ? body.get<std::string>()
+                               : body.dump());
     if (answer.status < 200 || answer.status > 299) {
         throw std::runtime_error(fmt::format("{} {} answered {}: {}", method, path, answer.status, answer.body));
     }
--- /dev/null
+++ b/test/integration/SilentFlowsAreFound.cpp
@@ -0,0 +1,86 @@
+// P9: connections that go silent for good are found within 40 s, their flows and slots are freed, and new connections
+// work at once. Guards against agents that keep dead flows, and against slots that wait for callers that are gone.
+
+#include "CallHistory.h"
+#include "Cluster.h"
+#include "RequireCleanHistory.h"
+#include "Traffic.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <future>
+
+using namespace chicoryferry::integration;
+
+namespace {
+
+// Keepalive and progress timeouts of the agents, with time for the test to see it.
+constexpr std::chrono::seconds silenceBound { 40 };
+constexpr std::chrono::seconds observationTime { 5 };
+
+std::uint64_t sumAt(Cluster& cluster, const std::string& field)
+{
+    std::uint64_t sum = 0;
+    for (const std::string name : { "job-1", "job-2", "job-3", "drawing-1", "drawing-2" }) {
+        sum += Cluster::status(cluster.host(name).adminAddress).at(field).get<std::uint64_t>();
+    }
+    return sum;
+}
+
+std::uint64_t waitUntilZero(Cluster& cluster, const std::string& field, std::chrono::seconds limit)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    std::uint64_t left = sumAt(cluster, field);
+    while (left > 0 && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        left = sumAt(cluster, field);
+    }
+    return left;
+}
+
+}
+
+TEST_CASE("silenced flows are freed within 40 s while new connections work [P9, silent drop of open flows]")
+{
+    Cluster cluster(ClusterPlan::small(701));
+    CallHistory history;
+    std::vector<std::unique_ptr<CallerSession>> idle;
+    for (int number = 0; number < 12; ++number) {
+        const std::string caller = fmt::format("10.9.1.{}", 1 + number % 8);
+        idle.push_back(std::make_unique<CallerSession>(history, caller, "job", cluster.entry(caller, "job")));
+        CHECK(idle.back()->get(fmt::format("/layout/{}?run=1ms", number)).status == 200);
+    }
+    // Downloads that are under way when their flows go silent.
+    std::vector<std::unique_ptr<CallerSession>> busy;
+    std::vector<std::future<HttpAnswer>> downloads;
+    for (int number = 0; number < 4; ++number) {
+        const std::string caller = fmt::format("10.9.2.{}", 1 + number);
+        busy.push_back(std::make_unique<CallerSession>(history, caller, "drawing", cluster.entry(caller, "drawing")));
+        CallerSession& session = *busy.back();
+        downloads.push_back(std::async(std::launch::async, [&session, number] {
+            return session.get(fmt::format("/drawings/{}?size=50000000", number), std::chrono::seconds(3));
+        }));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    CHECK(sumAt(cluster, "flows") >= 16);
+    cluster.setFaults({ { "silence", { { "fraction", 1.0 } } } });
+    const auto start = std::chrono::steady_clock::now();
+
+    for (int number = 0; number < 8; ++number) {
+        const std::string caller = fmt::format("10.9.1.{}", 1 + number);
+        CallerSession session(history, caller, "job", cluster.entry(caller, "job"));
+        CHECK(session.get(fmt::format("/layout/new-{}?run=1ms", number), std::chrono::seconds(10)).status == 200);
+        session.reset();
+    }
+    for (std::future<HttpAnswer>& download : downloads) {
+        CHECK_FALSE(download.get().complete);
+    }
+    CHECK(waitUntilZero(cluster, "flows", silenceBound + observationTime) == 0);
+    CHECK(waitUntilZero(cluster, "requestsInFlight", observationTime) == 0);
+    const auto found = std::chrono::steady_clock::now() - start;
+    MESSAGE("seed 701, all flows freed after " << std::chrono::duration_cast<std::chrono::milliseconds>(found).count()
+                                               << " ms\n"
+                                               << history.summary());
+    CHECK(found <= silenceBound + observationTime);
+    requireCleanHistory(history, cluster);
+}
