--- a/test/integration/LostAgentRunsNothingTwice.cpp
+++ b/test/integration/LostAgentRunsNothingTwice.cpp
@@ -18,8 +18,11 @@
 constexpr std::chrono::milliseconds faultTime { 1500 };
 constexpr std::chrono::milliseconds calmTime { 500 };
 
-// Callers give up after this long, so that those of a killed agent go on within the test.
-constexpr std::chrono::seconds callTimeout { 6 };
+// Longer than a holder waits for a silent claimer, so that callers hear what it makes of that.
+constexpr std::chrono::seconds patientTimeout { 20 };
+
+// Callers of a killed agent give up after this long and go on over other hosts within the test.
+constexpr std::chrono::seconds impatientTimeout { 2 };
 
 // The messages that go over the wire at each step. A rule that holds them up makes the fault strike at that step.
 struct Step {
@@ -47,7 +50,7 @@
 }
 
 struct Load {
-    explicit Load(Cluster& cluster)
+    Load(Cluster& cluster, std::chrono::seconds callTimeout)
         : traffic(cluster, history, callTimeout)
     {
         // Run times and the number of callers keep the six slots busy, so that hosts claim each other's requests.
@@ -87,7 +90,7 @@
 TEST_CASE("cut messages between agents run nothing twice and hide no run [P4 P5, cut at each step]")
 {
     Cluster cluster(proxiedPlan(401));
-    Load load(cluster);
+    Load load(cluster, patientTimeout);
     for (const Step& step : steps) {
         cluster.setProxyRules({ { { "kinds", step.kinds }, { "drop", 0.5 } } });
         std::this_thread::sleep_for(faultTime);
@@ -101,7 +104,7 @@
 TEST_CASE("an agent that is paused and resumed runs nothing twice and hides no run [P4 P5, pause at each step]")
 {
     Cluster cluster(proxiedPlan(402));
-    Load load(cluster);
+    Load load(cluster, patientTimeout);
     unsigned number = 0;
     for (const Step& step : steps) {
         ChildProcess& agent = *cluster.host(fmt::format("job-{}", 1 + number++ % 3)).agent;
@@ -120,7 +123,7 @@
 TEST_CASE("a killed agent runs nothing twice and hides no run [P4 P5, kill at each step]")
 {
     Cluster cluster(proxiedPlan(403));
-    Load load(cluster);
+    Load load(cluster, impatientTimeout);
     unsigned number = 0;
     for (const Step& step : steps) {
         const std::string name = fmt::format("job-{}", 1 + number++ % 3);
@@ -139,7 +142,7 @@
 TEST_CASE("a key that is repeated while its coordinator moves runs once [P5, hosts added and drained]")
 {
     Cluster cluster(proxiedPlan(404));
-    Load load(cluster);
+    Load load(cluster, patientTimeout);
     cluster.addHost({ "job-4", "job", "dar-1" });
     cluster.publish();
     std::this_thread::sleep_for(calmTime);
--- a/test/integration/SilentFlowsAreFound.cpp
+++ b/test/integration/SilentFlowsAreFound.cpp
@@ -27,6 +27,18 @@
     return sum;
 }
 
+// The agents publish these figures a few times a second.
+std::uint64_t waitUntilAtLeast(Cluster& cluster, const std::string& field, std::uint64_t wanted)
+{
+    const auto end = std::chrono::steady_clock::now() + observationTime;
+    std::uint64_t seen = sumAt(cluster, field);
+    while (seen < wanted && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        seen = sumAt(cluster, field);
+    }
+    return seen;
+}
+
 std::uint64_t waitUntilZero(Cluster& cluster, const std::string& field, std::chrono::seconds limit)
 {
     const auto end = std::chrono::steady_clock::now() + limit;
@@ -58,11 +70,10 @@
         busy.push_back(std::make_unique<CallerSession>(history, caller, "drawing", cluster.entry(caller, "drawing")));
         CallerSession& session = *busy.back();
         downloads.push_back(std::async(std::launch::async, [&session, number] {
-            return session.get(fmt::format("/drawings/{}?size=50000000", number), std::chrono::seconds(3));
+            return session.get(fmt::format("/drawings/{}?size=50000000&pace=1000000", number), std::chrono::seconds(8));
         }));
     }
-    std::this_thread::sleep_for(std::chrono::milliseconds(200));
-    CHECK(sumAt(cluster, "flows") >= 16);
+    CHECK(waitUntilAtLeast(cluster, "flows", 16) >= 16);
     cluster.setFaults({ { "silence", { { "fraction", 1.0 } } } });
     const auto start = std::chrono::steady_clock::now();
 
