--- a/src/app/CallerRequests.cpp
+++ b/src/app/CallerRequests.cpp
@@ -159,13 +159,13 @@
     }
 }
 
-void CallerRequests::requestBody(TimePoint now, std::uint64_t identifier, const std::string& data, bool last)
+void CallerRequests::requestBody(TimePoint now, std::uint64_t identifier, std::string data, bool last)
 {
     CallerRequest* request = this->find(identifier);
     if (request == nullptr || request->callerDone) {
         return; // refused meanwhile
     }
-    if (!request->body.append(data, last)) {
+    if (!request->body.append(std::move(data), last)) {
         const RunOutcome outcome = request->placed ? RunOutcome::Unknown : RunOutcome::NotRun;
         this->abandon(now, *request, 500, outcome, "body_over_credit");
     } else if (request->placed) {
--- a/src/app/CallerRequests.h
+++ b/src/app/CallerRequests.h
@@ -43,7 +43,7 @@
 
     // Calls of the HTTP edge, see RequestBroker.
     std::uint64_t submit(TimePoint, const std::string& service, const Endpoint& caller, HttpRequestHead);
-    void requestBody(TimePoint, std::uint64_t request, const std::string& data, bool last);
+    void requestBody(TimePoint, std::uint64_t request, std::string data, bool last);
     void answerConsumed(TimePoint, std::uint64_t request, std::size_t bytes);
     void cancel(TimePoint, std::uint64_t request);
 
--- a/src/app/RequestBodyBuffer.cpp
+++ b/src/app/RequestBodyBuffer.cpp
@@ -9,7 +9,7 @@
 {
 }
 
-bool RequestBodyBuffer::append(const std::string& data, bool last)
+bool RequestBodyBuffer::append(std::string data, bool last)
 {
     if (this->complete || this->receivedBytes + data.size() > this->creditGiven) {
         return false;
@@ -20,7 +20,11 @@
         this->bufferStart = this->sentBytes;
     }
     this->receivedBytes += data.size();
-    this->buffer += data;
+    if (this->buffer.empty()) {
+        this->buffer = std::move(data);
+    } else {
+        this->buffer += data;
+    }
     this->complete = last;
     return true;
 }
--- a/src/app/RequestBodyBuffer.h
+++ b/src/app/RequestBodyBuffer.h
@@ -17,7 +17,7 @@
 
     // Bytes from the edge; last: the body is complete. Returns false, taking nothing, after the end of the body or
     // beyond the credit given.
-    bool append(const std::string& data, bool last);
+    bool append(std::string data, bool last);
 
     bool isComplete() const { return this->complete; }
     std::uint64_t received() const { return this->receivedBytes; }
--- a/src/app/RequestBroker.cpp
+++ b/src/app/RequestBroker.cpp
@@ -301,7 +301,7 @@
 
 void RequestBroker::requestBody(TimePoint now, std::uint64_t request, std::string data, bool last)
 {
-    this->implementation->callerRequests.requestBody(now, request, data, last);
+    this->implementation->callerRequests.requestBody(now, request, std::move(data), last);
     this->implementation->edgeEvents.scheduleFlush();
 }
 
--- a/test/unit/BrokersSurviveAnyMessageFaults.cpp
+++ b/test/unit/BrokersSurviveAnyMessageFaults.cpp
@@ -34,7 +34,7 @@
         , rates(faultRates)
         , network({ echoScript(this->runs, true), echoScript(this->runs, false) }, 1)
     {
-        this->network.transfer = [this](BrokerNetwork::Message message) { return this->carry(std::move(message)); };
+        this->network.transfer = [this](const BrokerNetwork::Message& message) { return this->carry(message); };
     }
 
     void submitRequests(unsigned count)
@@ -88,7 +88,7 @@
         this->delayed.clear();
     }
 
-    std::vector<BrokerNetwork::Message> carry(BrokerNetwork::Message message)
+    std::vector<BrokerNetwork::Message> carry(const BrokerNetwork::Message& message)
     {
         std::vector<BrokerNetwork::Message> result;
         this->earlier.push_back(message);
--- a/test/unit/LateAnswerOfAPeerIsDropped.cpp
+++ b/test/unit/LateAnswerOfAPeerIsDropped.cpp
@@ -89,11 +89,12 @@
     BrokerNetwork& network = pair.network;
     std::vector<BrokerNetwork::Message> grants;
     network.transfer = [&grants](BrokerNetwork::Message message) {
-        std::vector<BrokerNetwork::Message> sent { message };
+        std::vector<BrokerNetwork::Message> sent;
         if (message.content.has_grant()) {
             grants.push_back(message);
             sent.push_back(message);
         }
+        sent.push_back(std::move(message));
         return sent;
     };
     const std::uint64_t request = network.submit(0, "POST", "/corrections/1/10", "nick");
