--- a/test/integration/PlannedChangesBreakNoFlow.cpp
+++ b/test/integration/PlannedChangesBreakNoFlow.cpp
@@ -90,7 +90,7 @@
     CHECK(cluster.waitForVersion(cluster.publish()) <= configurationBound);
     drainHost(cluster, "job-1");
     drainHost(cluster, "drawing-1");
-    load.traffic.waitForFurtherRequests(std::chrono::seconds(30));
+    CHECK(load.traffic.waitForFurtherRequests(std::chrono::seconds(30)));
     load.finish(cluster);
 }
 
@@ -102,6 +102,6 @@
     cluster.host("job-1").instanceState = "leaving";
     cluster.publishInstances();
     cluster.host("job-1").agent->send(SIGTERM);
-    load.traffic.waitForFurtherRequests(std::chrono::seconds(30));
+    CHECK(load.traffic.waitForFurtherRequests(std::chrono::seconds(30)));
     load.finish(cluster);
 }
--- a/test/integration/RelabelledHostServesOneService.cpp
+++ b/test/integration/RelabelledHostServesOneService.cpp
@@ -37,7 +37,7 @@
 
 void finish(Cluster& cluster, CallHistory& history, Traffic& traffic)
 {
-    traffic.waitForFurtherRequests(recoveryLimit);
+    CHECK(traffic.waitForFurtherRequests(recoveryLimit));
     traffic.stop();
     MESSAGE("seed " << cluster.clusterPlan().seed << "\n" << history.summary());
     CHECK(history.countStatus(200) > 0);
--- a/test/integration/Traffic.cpp
+++ b/test/integration/Traffic.cpp
@@ -143,7 +143,7 @@
     }
 }
 
-void Traffic::waitForFurtherRequests(std::chrono::milliseconds limit) const
+bool Traffic::waitForFurtherRequests(std::chrono::milliseconds limit) const
 {
     const auto end = std::chrono::steady_clock::now() + limit;
     for (const BenchProgress& bench : this->benches) {
@@ -151,11 +151,12 @@
         const std::uint64_t wanted = bench.requests + bench.connections + 1;
         while (bench.requests < wanted) {
             if (std::chrono::steady_clock::now() > end) {
-                throw std::runtime_error("a bench did not ask on each of its connections in time");
+                return false;
             }
             std::this_thread::sleep_for(pollInterval);
         }
     }
+    return true;
 }
 
 void Traffic::stop()
--- a/test/integration/Traffic.h
+++ b/test/integration/Traffic.h
@@ -37,7 +37,8 @@
     void addWriters(unsigned threads, std::chrono::milliseconds pause, const std::string& runTime);
 
     // Waits until every connection of the benches has carried a further request from its start to its end.
-    void waitForFurtherRequests(std::chrono::milliseconds timeout) const;
+    // Returns false when that has not happened at the timeout.
+    bool waitForFurtherRequests(std::chrono::milliseconds timeout) const;
 
     // Waits until every connection of the benches has been opened and has carried a request.
     void waitUntilOpen(std::chrono::milliseconds timeout) const;
