--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -19,3 +19,5 @@
 build-tsan/unit_tests --test-case='*[threads]*'
 step "all tests"
 ctest --test-dir build --output-on-failure
+step "known faults, passed over"
+cat KNOWN-RED.txt
