Refuse documents with numbers out of range

Cause: libFuzzer found a document whose number overflows; the library reports that with out_of_range, not parse_error, so that the exception left the check and would have ended a reader.

--- a/src/protocol/ConfigurationDocument.cpp
+++ b/src/protocol/ConfigurationDocument.cpp
@@ -234,7 +234,7 @@
     nlohmann::json document;
     try {
         document = nlohmann::json::parse(text);
-    } catch (const nlohmann::json::parse_error& error) {
+    } catch (const nlohmann::json::exception& error) {
         throw ConfigurationError(checkStep, { { "", error.what() } });
     }
     return checkConfiguration(document);
--- a/src/protocol/InstanceList.cpp
+++ b/src/protocol/InstanceList.cpp
@@ -47,7 +47,7 @@
     nlohmann::json document;
     try {
         document = nlohmann::json::parse(text);
-    } catch (const nlohmann::json::parse_error& error) {
+    } catch (const nlohmann::json::exception& error) {
         throw ConfigurationError(step, { { "", error.what() } });
     }
     DocumentReader reader(document, "", faults);
--- a/src/state/ConfigurationStore.cpp
+++ b/src/state/ConfigurationStore.cpp
@@ -48,7 +48,7 @@
     nlohmann::json document;
     try {
         document = nlohmann::json::parse(text);
-    } catch (const nlohmann::json::parse_error& error) {
+    } catch (const nlohmann::json::exception& error) {
         return invalid(0, error.what());
     }
     const Held& current = this->held(kind);
