--- a/test/integration/LostAgentRunsNothingTwice.cpp
+++ b/test/integration/LostAgentRunsNothingTwice.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::chrono::milliseconds faultTime { 1500 };
 constexpr std::chrono::milliseconds calmTime { 500 };
+constexpr std::chrono::seconds messageLimit { 8 };
 
 // Longer than a holder waits for a silent claimer, so that callers hear what it makes of that.
 constexpr std::chrono::seconds patientTimeout { 20 };
@@ -49,12 +50,22 @@
     return met;
 }
 
+// Waits until a message of the step is held up, so that the next fault strikes at that step.
+bool waitForMessage(const Cluster& cluster)
+{
+    const auto end = std::chrono::steady_clock::now() + messageLimit;
+    while (messagesMet(cluster) == 0 && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return messagesMet(cluster) > 0;
+}
+
 struct Load {
     Load(Cluster& cluster, std::chrono::seconds callTimeout)
         : traffic(cluster, history, callTimeout)
     {
         // Run times and the number of callers keep the six slots busy, so that hosts claim each other's requests.
-        this->traffic.addBenches(12, 1, std::chrono::milliseconds(2), 0.3, "25ms");
+        this->traffic.addBenches(24, 1, std::chrono::milliseconds(2), 0.3, "25ms");
         this->traffic.addWriters(10, std::chrono::milliseconds(20), "25ms");
         std::this_thread::sleep_for(calmTime);
     }
@@ -109,11 +120,10 @@
     for (const Step& step : steps) {
         ChildProcess& agent = *cluster.host(fmt::format("job-{}", 1 + number++ % 3)).agent;
         holdUp(cluster, step);
-        std::this_thread::sleep_for(calmTime);
+        CHECK_MESSAGE(waitForMessage(cluster), step.name);
         cluster.pause(agent);
         std::this_thread::sleep_for(faultTime);
         cluster.resume(agent);
-        CHECK_MESSAGE(messagesMet(cluster) > 0, step.name);
         cluster.setProxyRules(nlohmann::json::array());
         std::this_thread::sleep_for(calmTime);
     }
@@ -128,10 +138,9 @@
     for (const Step& step : steps) {
         const std::string name = fmt::format("job-{}", 1 + number++ % 3);
         holdUp(cluster, step);
-        std::this_thread::sleep_for(calmTime);
+        CHECK_MESSAGE(waitForMessage(cluster), step.name);
         cluster.host(name).agent->send(SIGKILL);
         std::this_thread::sleep_for(faultTime);
-        CHECK_MESSAGE(messagesMet(cluster) > 0, step.name);
         cluster.setProxyRules(nlohmann::json::array());
         cluster.addHost({ name, "job", fmt::format("dar-{}", 1 + number % 3) });
         cluster.waitForVersion(cluster.publish());
