Let a new process ask seed peers while the platform is down

Cause: a newcomer learned its peers only from the platform's instance list, so that it could not join while the platform was down. Ruled out: a slow join; version 0 was still in force after 10 s. Before: 'a process that joins gets the newest version from its peers' failed, not ready after 10 s. After: 4 of 4 cases of ConfigurationOutlivesThePlatform pass.

--- a/src/app/ConfigurationExchange.cpp
+++ b/src/app/ConfigurationExchange.cpp
@@ -43,11 +43,11 @@
 }
 
 ConfigurationExchange::ConfigurationExchange(const std::string& instance, const std::string& availabilityZone,
-    const Endpoint& peerAddress, Logger& processLogger, Metrics& processMetrics)
+    const Endpoint& peerAddress, std::vector<Endpoint> seedPeers, Logger& processLogger, Metrics& processMetrics)
     : ownPeerAddress(peerAddress)
     , logger(processLogger)
     , metrics(processMetrics)
-    , distribution(instance, availabilityZone)
+    , distribution(instance, availabilityZone, std::move(seedPeers))
 {
 }
 
--- a/src/app/ConfigurationExchange.h
+++ b/src/app/ConfigurationExchange.h
@@ -33,9 +33,10 @@
     using Output = std::variant<Message, AskPlatform>;
     using Outputs = std::vector<Output>;
 
-    // ownPeerAddress: where peers reach this process. The references must outlive this object.
+    // ownPeerAddress: where peers reach this process. seedPeers: asked until an instance list is known. The references
+    // must outlive this object.
     ConfigurationExchange(const std::string& instance, const std::string& availabilityZone,
-        const Endpoint& ownPeerAddress, Logger&, Metrics&);
+        const Endpoint& ownPeerAddress, std::vector<Endpoint> seedPeers, Logger&, Metrics&);
 
     // Takes Subscribe, Update and Confirm. Returns nothing for any other message, which is not for this class.
     std::optional<Outputs> messageReceived(TimePoint, const wire::PeerMessage&);
--- a/src/app/ControlPlane.cpp
+++ b/src/app/ControlPlane.cpp
@@ -66,8 +66,8 @@
     {
         this->socket = std::make_unique<PeerSocket>(this->settings.peerAddress, this->metrics);
         this->boundAddress = this->socket->address();
-        this->exchange = std::make_unique<ConfigurationExchange>(
-            this->settings.instance, this->settings.availabilityZone, this->boundAddress, this->logger, this->metrics);
+        this->exchange = std::make_unique<ConfigurationExchange>(this->settings.instance,
+            this->settings.availabilityZone, this->boundAddress, this->settings.seedPeers, this->logger, this->metrics);
         for (PlatformWatch& watch : this->watches) {
             watch.start();
         }
--- a/src/app/Settings.cpp
+++ b/src/app/Settings.cpp
@@ -3,6 +3,7 @@
 #include "support/Duration.h"
 #include "support/UserError.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdlib>
 #include <fmt/format.h>
@@ -55,6 +56,17 @@
     return parseEndpoint(rest);
 }
 
+std::vector<Endpoint> parseEndpoints(const std::string& text)
+{
+    std::vector<Endpoint> endpoints;
+    for (std::size_t start = 0; start < text.size();) {
+        const std::size_t end = std::min(text.find(',', start), text.size());
+        endpoints.push_back(parseEndpoint(std::string_view(text).substr(start, end - start)));
+        start = end + 1;
+    }
+    return endpoints;
+}
+
 std::string parseName(const std::string& text)
 {
     if (text.empty() || text.size() > 128) {
@@ -82,6 +94,9 @@
             [&](const std::string& text) { settings.adminAddress = parseEndpoint(text); } },
         { "platform", "URL of the platform's configuration service", "", "http://a.b.c.d:port", true,
             [&](const std::string& text) { settings.platform = parseHttpUrl(text); } },
+        { "peers", "Peer addresses to ask for configuration until an instance list is known", "",
+            "a.b.c.d:port, separated by commas, or nothing", false,
+            [&](const std::string& text) { settings.seedPeers = parseEndpoints(text); } },
         { "log-level", "Least severity that is logged", "info", "debug, info, warning or error", false,
             [&](const std::string& text) { settings.logLevel = parseLogLevel(text); } },
     };
--- a/src/app/Settings.h
+++ b/src/app/Settings.h
@@ -20,6 +20,7 @@
     Endpoint peerAddress;
     Endpoint adminAddress;
     Endpoint platform;
+    std::vector<Endpoint> seedPeers; // asked for configuration until an instance list is known
     Endpoint fabricAddress; // agent only
     Endpoint backendServer; // agent only
     std::chrono::milliseconds drainLimit { std::chrono::hours(8) }; // agent only
--- a/src/coordination/DistributionNode.cpp
+++ b/src/coordination/DistributionNode.cpp
@@ -57,10 +57,11 @@
 
 }
 
-DistributionNode::DistributionNode(std::string instanceName, std::string zone)
+DistributionNode::DistributionNode(std::string instanceName, std::string zone, std::vector<Endpoint> seedPeers)
     : instance(std::move(instanceName))
     , availabilityZone(std::move(zone))
     , instanceHash(hostHash(this->instance))
+    , candidates(std::move(seedPeers))
 {
 }
 
--- a/src/coordination/DistributionNode.h
+++ b/src/coordination/DistributionNode.h
@@ -63,7 +63,8 @@
         TimePoint answeredAt;
     };
 
-    DistributionNode(std::string instance, std::string availabilityZone);
+    // seedPeers: peer addresses to ask until an instance list is known.
+    DistributionNode(std::string instance, std::string availabilityZone, std::vector<Endpoint> seedPeers = {});
 
     // A new instance list is in force.
     void treeChanged(TimePoint, std::shared_ptr<const DistributionTree>);
--- a/test/integration/Cluster.cpp
+++ b/test/integration/Cluster.cpp
@@ -23,6 +23,15 @@
     return path == nullptr ? CHICORYFERRY_BINARY : path;
 }
 
+std::string joinEndpoints(const std::vector<Endpoint>& endpoints)
+{
+    std::string text;
+    for (const Endpoint& endpoint : endpoints) {
+        text += (text.empty() ? "" : ",") + formatEndpoint(endpoint);
+    }
+    return text;
+}
+
 const std::map<std::string, std::string> serviceAddresses { { "job", "10.1.0.1" }, { "drawing", "10.1.0.2" } };
 
 nlohmann::json route(const std::string& method, const std::string& path, bool shareable, bool repeatable,
@@ -171,12 +180,17 @@
 
 ClusterBalancer& Cluster::addBalancer(const std::string& availabilityZone)
 {
+    std::vector<Endpoint> seedPeers;
+    for (const ClusterBalancer& earlier : this->balancers) {
+        seedPeers.push_back(earlier.peerAddress);
+    }
     ClusterBalancer& balancer = this->balancers.emplace_back();
     balancer.name = fmt::format("balancer-{}", this->balancers.size());
     balancer.availabilityZone = availabilityZone;
     balancer.process = std::make_unique<ChildProcess>(balancer.name,
         std::vector<std::string> { programPath(), "balancer", "--instance", balancer.name, "--availability-zone",
-            availabilityZone, "--incarnation", "1", "--platform", "http://" + formatEndpoint(this->platformAddress) });
+            availabilityZone, "--incarnation", "1", "--platform", "http://" + formatEndpoint(this->platformAddress),
+            "--peers", joinEndpoints(seedPeers) });
     const nlohmann::json listening = balancer.process->waitForEvent("listening");
     balancer.dataAddress = addressIn(listening, "data");
     balancer.peerAddress = addressIn(listening, "peer");
--- a/test/unit/ExchangeNetwork.cpp
+++ b/test/unit/ExchangeNetwork.cpp
@@ -52,8 +52,8 @@
     member->name = fmt::format("p{}", index);
     member->availabilityZone = fmt::format("z{}", index / membersPerZone);
     member->endpoint = { 0x7f000001, static_cast<std::uint16_t>(10000 + index) };
-    member->exchange = std::make_unique<ConfigurationExchange>(
-        member->name, member->availabilityZone, member->endpoint, member->logger, member->metrics);
+    member->exchange = std::make_unique<ConfigurationExchange>(member->name, member->availabilityZone, member->endpoint,
+        std::vector<Endpoint> {}, member->logger, member->metrics);
     this->members.push_back(std::move(member));
     this->listed.push_back(isListed);
     return *this->members.back();
