--- a/test/integration/Traffic.cpp
+++ b/test/integration/Traffic.cpp
@@ -1,5 +1,6 @@
 #include "Traffic.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <random>
 #include <stdexcept>
@@ -62,7 +63,7 @@
 void Traffic::runBench(unsigned thread, BenchProgress& progress, std::chrono::milliseconds pause, double writeShare,
     const std::string& runTime)
 {
-    const unsigned connections = progress.connections;
+    const unsigned connections = std::max(progress.connections, 1U);
     const std::string caller = benchAddress(thread);
     const Endpoint entry = this->cluster.entry(caller, "job");
     std::vector<std::unique_ptr<CallerSession>> sessions;
