Wait for all benches at once in the planned-changes tests

Cause of 'a bench did not ask on each of its connections in time': the test set each bench's target only when the benches before it had reached theirs, so that 16 rounds of 126 requests ran one after the other, more than the 30 s allowed on a loaded machine. Each bench still has to ask once more on each connection.

--- a/test/integration/Traffic.cpp
+++ b/test/integration/Traffic.cpp
@@ -147,15 +147,20 @@
 bool Traffic::waitForFurtherRequests(std::chrono::milliseconds limit) const
 {
     const auto end = std::chrono::steady_clock::now() + limit;
+    std::vector<std::uint64_t> wanted;
     for (const BenchProgress& bench : this->benches) {
         // One more than a round, because a request may be under way now.
-        const std::uint64_t wanted = bench.requests + bench.connections + 1;
-        while (bench.requests < wanted) {
+        wanted.push_back(bench.requests + bench.connections + 1);
+    }
+    std::size_t index = 0;
+    for (const BenchProgress& bench : this->benches) {
+        while (bench.requests < wanted[index]) {
             if (std::chrono::steady_clock::now() > end) {
                 return false;
             }
             std::this_thread::sleep_for(pollInterval);
         }
+        ++index;
     }
     return true;
 }
