--- a/test/integration/ChildProcess.h
+++ b/test/integration/ChildProcess.h
@@ -38,6 +38,7 @@
 
     bool running();
 
+    pid_t identifier() const { return this->process; }
     const std::string& name() const { return this->processName; }
 
 private:
--- a/test/integration/Cluster.cpp
+++ b/test/integration/Cluster.cpp
@@ -259,7 +259,7 @@
             content["hosts"].push_back({ { "name", host.plan.name }, { "incarnation", host.incarnation },
                 { "availabilityZone", host.plan.availabilityZone }, { "dataAddress", formatEndpoint(host.dataAddress) },
                 { "peerAddress", formatEndpoint(host.peerAddress) }, { "slots", host.plan.slots },
-                { "connections", 2000 }, { "state", host.documentState }, { "labels", host.labels } });
+                { "connections", host.plan.connections }, { "state", host.documentState }, { "labels", host.labels } });
         }
     }
     content.merge_patch(this->documentPatch);
--- a/test/integration/ClusterPlan.h
+++ b/test/integration/ClusterPlan.h
@@ -13,6 +13,7 @@
     std::string service; // label "service", and the service that the backend server names in its answers
     std::string availabilityZone;
     unsigned slots { 2 };
+    unsigned connections { 2000 };
 };
 
 // What a cluster starts with.
