--- a/src/app/AgentProcess.cpp
+++ b/src/app/AgentProcess.cpp
@@ -263,16 +263,7 @@
 
 std::string AgentProcess::status() const
 {
-    StatusReport report;
-    report.role = "agent";
-    report.instance = this->settings.instance;
-    report.incarnation = this->settings.incarnation;
-    report.availabilityZone = this->settings.availabilityZone;
-    if (const auto view = this->control.view()) {
-        report.configurationVersion = view->configuration().version;
-        report.instancesVersion = view->instances().version;
-    }
-    report.confirmationAgeMs = static_cast<std::uint64_t>(this->control.confirmationAge().count());
+    StatusReport report = makeStatus(this->settings, this->control);
     report.flows = this->flowCount;
     report.requestsInFlight = this->requestCount;
     report.ready = this->ready && !this->draining;
--- a/src/app/BalancerProcess.cpp
+++ b/src/app/BalancerProcess.cpp
@@ -61,16 +61,7 @@
 
 std::string BalancerProcess::status() const
 {
-    StatusReport report;
-    report.role = "balancer";
-    report.instance = this->settings.instance;
-    report.incarnation = this->settings.incarnation;
-    report.availabilityZone = this->settings.availabilityZone;
-    if (const auto view = this->control.view()) {
-        report.configurationVersion = view->configuration().version;
-        report.instancesVersion = view->instances().version;
-    }
-    report.confirmationAgeMs = static_cast<std::uint64_t>(this->control.confirmationAge().count());
+    StatusReport report = makeStatus(this->settings, this->control);
     report.ready = this->ready && !this->draining;
     report.draining = this->draining;
     return formatStatus(report);
--- a/src/app/StatusReport.h
+++ b/src/app/StatusReport.h
@@ -5,6 +5,9 @@
 
 namespace chicoryferry {
 
+class ControlPlane;
+struct Settings;
+
 // What /v1/status answers, as JSON with the same field names.
 struct StatusReport {
     std::string role;
@@ -20,6 +23,9 @@
     bool draining { false };
 };
 
+// A report with what the settings and the control plane tell; the process fills in the rest.
+StatusReport makeStatus(const Settings&, const ControlPlane&);
+
 // The report as one JSON object.
 std::string formatStatus(const StatusReport&);
 
