--- a/bench/WholePathBench.cpp
+++ b/bench/WholePathBench.cpp
@@ -21,7 +21,7 @@
 using std::chrono::steady_clock;
 
 constexpr int latencyRequests = 3000;
-constexpr std::size_t downloadBytes = 300'000'000;
+constexpr std::size_t downloadBytes = 1'000'000'000;
 constexpr std::chrono::seconds answerLimit { 60 };
 constexpr unsigned connectionsPerHost = 5000;
 // An agent publishes its status a few times a second.
@@ -61,13 +61,13 @@
     return answer.complete ? static_cast<double>(answer.body.size()) / 1e6 / elapsed.count() : 0;
 }
 
-// Resident memory of a process in KB, from /proc.
-long residentKilobytes(pid_t process)
+// A size in KB from /proc: VmRSS for resident memory, VmHWM for its highest value so far.
+long memoryKilobytes(pid_t process, const std::string& field)
 {
     std::ifstream status(fmt::format("/proc/{}/status", process));
     for (std::string line; std::getline(status, line);) {
-        if (line.starts_with("VmRSS:")) {
-            return std::stol(line.substr(6));
+        if (line.starts_with(field + ":")) {
+            return std::stol(line.substr(field.size() + 1));
         }
     }
     return 0;
@@ -89,8 +89,8 @@
         const std::chrono::duration<double> elapsed = steady_clock::now() - start;
         std::this_thread::sleep_for(statusDelay);
         const auto flows = Cluster::status(host.adminAddress).at("flows").get<std::uint64_t>();
-        fmt::print("{:>12} {:>12} {:>12} {:>10.2f}\n", wanted, flows, residentKilobytes(host.agent->identifier()),
-            elapsed.count());
+        fmt::print("{:>12} {:>12} {:>12} {:>10.2f}\n", wanted, flows,
+            memoryKilobytes(host.agent->identifier(), "VmRSS"), elapsed.count());
     }
 }
 
@@ -115,6 +115,8 @@
     fmt::print("{:>10} {:>10.0f} {:>10.0f} {:>10.0f}\n", "whole path", pathLatency.p50, pathLatency.p99, pathRate);
     fmt::print("{:>10} {:>10.0f} {:>10.0f} {:>10.2f}\n\n", "added", pathLatency.p50 - directLatency.p50,
         pathLatency.p99 - directLatency.p99, pathRate / directRate);
+    fmt::print("highest resident memory of the agent after a download of {} MB: {} KB\n\n", downloadBytes / 1'000'000,
+        memoryKilobytes(cluster.host("job-1").agent->identifier(), "VmHWM"));
     printMemory(cluster);
     return 0;
 }
