Index earlier versions without the instance list; remove an unused constant

Each view change copied the instance list once and indexed it again for each of up to 16 earlier versions, in balancers and agents. Only the addresses and incarnations of earlier hosts are used, so that an empty list serves.

--- a/src/app/HttpEdge.cpp
+++ b/src/app/HttpEdge.cpp
@@ -24,7 +24,6 @@
 // How long a connection that completes its handshake during a drain may stay without a request.
 constexpr std::chrono::milliseconds drainGrace = std::chrono::seconds(5);
 
-constexpr unsigned badRequest = 400;
 constexpr unsigned requestTimeout = 408;
 
 }
--- a/src/coordination/PacketRouter.cpp
+++ b/src/coordination/PacketRouter.cpp
@@ -32,11 +32,12 @@
 {
     const auto& history = this->view->history();
     const std::size_t count = std::min(history.size(), maximumEarlierVersions);
-    const auto instances = std::make_shared<const InstanceList>(this->view->instances());
+    // Of earlier versions only the hosts' addresses are used, for which no instance list is needed.
+    const auto noInstances = std::make_shared<const InstanceList>();
     this->earlierViews.reserve(count);
     for (std::size_t index = 0; index < count; ++index) {
         this->earlierViews.push_back(std::make_shared<const ConfigurationView>(
-            history[index], instances, std::vector<std::shared_ptr<const Configuration>> {}));
+            history[index], noInstances, std::vector<std::shared_ptr<const Configuration>> {}));
     }
     this->chosen.reserve(maximumCandidates);
 }
