--- a/scripts/generate-protobuf.sh
+++ b/scripts/generate-protobuf.sh
@@ -2,4 +2,4 @@
 # Regenerates the committed protobuf code.
 set -euo pipefail
 cd "$(dirname "$0")/../src/protocol"
-protoc --cpp_out=generated messages.proto
+protoc --cpp_out=generated messages.proto steering.proto
--- /dev/null
+++ b/src/app/AgentNode.cpp
@@ -0,0 +1,301 @@
+#include "app/AgentNode.h"
+
+#include "coordination/FlowPlacement.h"
+#include "platform/FlowPayload.h"
+#include "platform/PacketFormat.h"
+#include "platform/Readiness.h"
+#include "platform/SettingsFile.h"
+#include "support/Overloaded.h"
+#include "transport/AdminServer.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <random>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+namespace chicoryferry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Bounds one call, so that timers and messages are served under load.
+constexpr int batchesPerCall = 8;
+
+// Held flows and old flows are looked at this often while there are held ones, and else.
+constexpr milliseconds busyTick { 10 };
+constexpr milliseconds idleTick { 100 };
+
+// A changed load is reported to each balancer at most this often; a verdict carries the load at once.
+constexpr milliseconds reportInterval { 10 };
+
+// A balancer that has restarted is told of this agent for as long.
+constexpr std::chrono::seconds balancerLifetime { 30 };
+
+// Balancers learn that this agent leaves before it is gone, also when one report is lost.
+constexpr milliseconds leastStop { 300 };
+
+// Before the platform ends the process by force.
+constexpr milliseconds stopMargin { 700 };
+
+std::uint64_t drawNumber()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+std::string formatFlow(const FlowKey& key)
+{
+    return formatEndpoint(key.caller) + ">" + formatEndpoint(key.service);
+}
+
+}
+
+AgentNode::AgentNode(NodeSettings nodeSettings, std::string settingsPath)
+    : settings(std::move(nodeSettings))
+    , log(this->settings.instance, STDOUT_FILENO)
+    , peerSocket(this->settings.packetAddress)
+    , hostSocket(this->settings.backendOutbound)
+    , admission(drawNumber(), serviceHash(this->settings.service), platform::readRequestMarks,
+          platform::readAnswerMarks, std::chrono::steady_clock::now())
+    , reload(std::move(settingsPath), platform::readSettingsFile, this->settings, this->log, this->metrics,
+          [this](const NodeSettings& next) { this->onSettings(next); })
+{
+}
+
+void AgentNode::onSettings(const NodeSettings& next)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (next.service != this->settings.service) {
+        this->admission.setService(serviceHash(next.service), now, this->actions);
+        this->perform(now);
+    }
+    this->settings.service = next.service;
+    this->settings.backendServer = next.backendServer;
+    this->settings.stopGrace = next.stopGrace;
+}
+
+void AgentNode::perform(TimePoint now)
+{
+    for (const AgentAction& action : this->actions) {
+        std::visit(Overloaded {
+                       [this](const DeliverToBackendServer& delivery) {
+                           this->hostSocket.queue(this->settings.backendServer, 0, delivery.datagram);
+                       },
+                       [this](const DeliverToCaller& delivery) {
+                           this->hostSocket.queue(
+                               { delivery.caller.address, this->settings.packetAddress.port }, 0, delivery.datagram);
+                       },
+                       [&](const SendVerdict& verdict) {
+                           Balancer& balancer = this->balancers[verdict.balancer];
+                           balancer.lastHeard = now;
+                           balancer.verdicts.push_back({ verdict.flow, verdict.verdict });
+                           this->metrics.events("verdict_" + std::string(flowVerdictName(verdict.verdict)))
+                               .Increment();
+                           const AgentLoad load = this->admission.currentLoad(now);
+                           this->log.log(verdict.verdict == FlowVerdict::Owned ? EventLog::Importance::Routine
+                                                                               : EventLog::Importance::Notable,
+                               "flow_verdict",
+                               { { "flow", formatFlow(verdict.flow) }, { "verdict", flowVerdictName(verdict.verdict) },
+                                   { "expected_wait_us", verdict.expectedWait.count() },
+                                   { "held_us", verdict.held.count() }, { "working", load.working },
+                                   { "opening", load.opening }, { "held", load.held }, { "slots", load.slots } });
+                       },
+                       [this](const ReportAnswer& answer) {
+                           this->metrics.duration("request").Observe(
+                               std::chrono::duration<double>(answer.work).count());
+                           this->log.log(answer.status >= 500 ? EventLog::Importance::Notable
+                                                              : EventLog::Importance::Routine,
+                               "request_answered",
+                               { { "request", answer.requestId }, { "flow", formatFlow(answer.flow) },
+                                   { "status", answer.status }, { "work_us", answer.work.count() },
+                                   { "since_first_packet_us", answer.sinceFirstPacket.count() } });
+                       },
+                   },
+            action);
+    }
+    this->actions.clear();
+    this->hostSocket.flush();
+}
+
+void AgentNode::takeSteered(const Endpoint& balancer, const SteerPacket& steered, TimePoint now)
+{
+    const auto packet = platform::decodePacket(steered.datagram);
+    if (!packet) {
+        this->metrics.drops("deliver packet", "malformed").Increment();
+        return;
+    }
+    if (steered.purpose == SteeringPurpose::NewFlow && packet->isFirst()) {
+        this->admission.newFlow({ balancer, steered.waitLimit, steered.priority, steered.slots }, steered.service,
+            *packet, steered.datagram, now, this->actions);
+    } else {
+        this->admission.callerPacket(balancer, steered.service, steered.purpose == SteeringPurpose::Search, *packet,
+            steered.datagram, now, this->actions);
+    }
+    this->perform(now);
+}
+
+void AgentNode::takeMessages()
+{
+    for (int batch = 0; batch < batchesPerCall; ++batch) {
+        const auto datagrams = this->peerSocket.receive();
+        if (datagrams.empty()) {
+            return;
+        }
+        const auto now = std::chrono::steady_clock::now();
+        for (const ReceivedDatagram& datagram : datagrams) {
+            const auto message = this->messages.decode(datagram.bytes);
+            if (!message || std::holds_alternative<ReportMessage>(*message)) {
+                this->metrics.drops("take message", "malformed").Increment();
+                continue;
+            }
+            Balancer& balancer = this->balancers[datagram.source];
+            balancer.lastHeard = now;
+            if (const auto* steered = std::get_if<SteerPacket>(&*message)) {
+                this->takeSteered(datagram.source, *steered, now);
+            } else {
+                balancer.due = true;
+            }
+        }
+        this->sendReports(now);
+    }
+}
+
+void AgentNode::takeHostPackets()
+{
+    for (int batch = 0; batch < batchesPerCall; ++batch) {
+        const auto datagrams = this->hostSocket.receive();
+        if (datagrams.empty()) {
+            return;
+        }
+        const auto now = std::chrono::steady_clock::now();
+        for (const ReceivedDatagram& datagram : datagrams) {
+            const auto packet = platform::decodePacket(datagram.bytes);
+            if (!packet) {
+                this->metrics.drops("deliver packet", "malformed").Increment();
+                continue;
+            }
+            this->admission.hostPacket(*packet, datagram.bytes, now, this->actions);
+            this->perform(now);
+        }
+        this->sendReports(now);
+    }
+}
+
+void AgentNode::sendReport(const Endpoint& address, Balancer& balancer, TimePoint now)
+{
+    const AgentLoad load = this->admission.load(now);
+    do {
+        const auto count = std::min(balancer.verdicts.size(), SteeringMessages::mostVerdicts);
+        ReportMessage report { load, {} };
+        report.verdicts.assign(balancer.verdicts.begin(), balancer.verdicts.begin() + static_cast<std::ptrdiff_t>(count));
+        balancer.verdicts.erase(balancer.verdicts.begin(), balancer.verdicts.begin() + static_cast<std::ptrdiff_t>(count));
+        const auto datagram = this->messages.encode(report);
+        this->peerSocket.queue(address, 0, datagram);
+        this->peerSocket.flush();
+    } while (!balancer.verdicts.empty());
+    balancer.reportedOccupied = this->admission.occupied();
+    balancer.lastReport = now;
+    balancer.due = false;
+}
+
+void AgentNode::sendReports(TimePoint now)
+{
+    for (auto& [address, balancer] : this->balancers) {
+        const bool changed = balancer.reportedOccupied != this->admission.occupied();
+        if (!balancer.verdicts.empty() || balancer.due
+            || (changed && now - balancer.lastReport >= reportInterval)) {
+            this->sendReport(address, balancer, now);
+        } else if (changed) {
+            this->nextReports = std::min(this->nextReports, balancer.lastReport + reportInterval);
+        }
+    }
+}
+
+void AgentNode::tick(TimePoint now)
+{
+    if (now >= this->nextTick) {
+        this->nextTick = now + (this->admission.hasHeld() ? busyTick : idleTick);
+        this->admission.tick(now, this->actions);
+        this->perform(now);
+        std::erase_if(
+            this->balancers, [&](const auto& item) { return now - item.second.lastHeard > balancerLifetime; });
+        this->flowCount = this->admission.flowCount();
+        this->reload.check(false, now);
+    }
+    if (this->admission.hasHeld()) {
+        this->nextTick = std::min(this->nextTick, now + busyTick);
+    }
+    this->nextReports = now + idleTick;
+    this->sendReports(now);
+    this->log.flush();
+}
+
+std::chrono::milliseconds AgentNode::timeout(TimePoint now) const
+{
+    const TimePoint next = std::min(this->nextTick, this->nextReports);
+    return std::clamp(std::chrono::ceil<milliseconds>(next - now), milliseconds(0), idleTick);
+}
+
+void AgentNode::startStop(TimePoint now)
+{
+    if (!this->stopping) {
+        this->stopping = true;
+        this->stopSince = now;
+        this->ready = false;
+        this->admission.leave();
+        for (auto& [address, balancer] : this->balancers) {
+            balancer.due = true;
+        }
+        this->log.log(EventLog::Importance::Notable, "stopping",
+            { { "flows", static_cast<std::int64_t>(this->admission.unfinished()) } });
+    }
+}
+
+bool AgentNode::isStopped(TimePoint now) const
+{
+    if (!this->stopping) {
+        return false;
+    }
+    const auto since = now - this->stopSince;
+    return since >= this->settings.stopGrace - stopMargin || (since >= leastStop && this->admission.unfinished() == 0);
+}
+
+std::string AgentNode::status() const
+{
+    return fmt::format(R"({{"role":"agent","instance":"{}","flows":{},"ready":{}}})", this->settings.instance,
+        this->flowCount.load(), this->ready.load());
+}
+
+void AgentNode::run()
+{
+    const AdminServer admin({ this->settings.readyAddress, this->settings.metricsAddress }, this->metrics,
+        { [this] { return this->ready.load(); }, [this] { return this->status(); }, platform::readinessPath });
+    this->ready = true;
+    this->log.log(EventLog::Importance::Notable, "started",
+        { { "peers", formatEndpoint(this->settings.packetAddress) },
+            { "backend_server", formatEndpoint(this->settings.backendServer) },
+            { "service", this->settings.service } });
+    this->loop.add(this->peerSocket.descriptor(), EPOLLIN, [this](std::uint32_t) { this->takeMessages(); });
+    this->loop.add(this->hostSocket.descriptor(), EPOLLIN, [this](std::uint32_t) { this->takeHostPackets(); });
+    this->loop.add(this->signals.descriptor(), EPOLLIN, [this](std::uint32_t) {
+        const auto now = std::chrono::steady_clock::now();
+        const SignalWatch::Requests requests = this->signals.consume();
+        if (requests.reload) {
+            this->reload.check(true, now);
+        }
+        if (requests.stop) {
+            this->startStop(now);
+        }
+    });
+    while (!this->isStopped(std::chrono::steady_clock::now())) {
+        this->tick(std::chrono::steady_clock::now());
+        this->loop.runOnce(this->timeout(std::chrono::steady_clock::now()));
+    }
+    this->log.log(EventLog::Importance::Notable, "stopped",
+        { { "flows", static_cast<std::int64_t>(this->admission.unfinished()) } });
+    this->log.flush();
+}
+
+}
--- a/src/app/AgentProcess.cpp
+++ b/src/app/AgentProcess.cpp
@@ -108,7 +108,7 @@
         this->takeControl();
     });
     this->loop.add(this->signals.descriptor(), EPOLLIN, [this](std::uint32_t) {
-        if (this->signals.consume() && !this->draining) {
+        if (this->signals.consume().stop && !this->draining) {
             this->startDraining();
         }
     });
--- /dev/null
+++ b/src/app/BalancerNode.cpp
@@ -0,0 +1,281 @@
+#include "app/BalancerNode.h"
+
+#include "platform/PacketFormat.h"
+#include "platform/Readiness.h"
+#include "platform/SettingsFile.h"
+#include "support/Overloaded.h"
+#include "transport/AdminServer.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <random>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+namespace chicoryferry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Bounds one call, so that timers and messages are served under load.
+constexpr int batchesPerCall = 8;
+
+// An agent that misses three hellos has lost this balancer; a lost agent is noticed by its reports within the same time.
+constexpr milliseconds helloInterval { 250 };
+
+// Hosts that are missing are looked at this often.
+constexpr milliseconds expiryInterval { 200 };
+
+// The routers look twice a second and take a node out after two misses.
+constexpr milliseconds leastStop { 1500 };
+constexpr milliseconds quietStop { 500 };
+
+// Before the platform ends the process by force.
+constexpr milliseconds stopMargin { 700 };
+
+std::uint64_t drawNumber()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+std::string formatFlow(const FlowKey& key)
+{
+    return formatEndpoint(key.caller) + ">" + formatEndpoint(key.service);
+}
+
+}
+
+BalancerNode::BalancerNode(NodeSettings nodeSettings, std::string settingsPath)
+    : settings(std::move(nodeSettings))
+    , lifetime(drawNumber())
+    , log(this->settings.instance, STDOUT_FILENO)
+    , packetSocket(this->settings.packetAddress)
+    , peerSocket(this->settings.peerAddress)
+    , reload(std::move(settingsPath), platform::readSettingsFile, this->settings, this->log, this->metrics,
+          [this](const NodeSettings& next) { this->reader.setStore(next.store); })
+    , placement(this->settings.availabilityZone, this->lifetime)
+    , steering(this->directory, this->placement)
+    , reader(this->settings.store, this->loop, this->directory, this->log, this->metrics, this->lifetime,
+          [this] { this->onDirectoryChange(); })
+{
+}
+
+void BalancerNode::onDirectoryChange()
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<FlowPlacement::Agent> agents;
+    for (const KnownHost* host : this->directory.hosts()) {
+        // Agents take packets at the same port on every machine.
+        const Endpoint address { host->entry.address.address, this->settings.packetAddress.port };
+        agents.push_back({ address, host->entry, host->learnedAt });
+    }
+    this->placement.setAgents(agents, now);
+    this->configurationVersion = this->directory.routes().version;
+    const bool usable = this->directory.hasRoutes() && !agents.empty();
+    if (usable && !this->ready && !this->stopping) {
+        this->ready = true;
+        this->log.log(EventLog::Importance::Notable, "ready",
+            { { "configuration", static_cast<std::int64_t>(this->directory.routes().version) },
+                { "hosts", static_cast<std::int64_t>(agents.size()) } });
+    }
+    this->nextHello = now;
+    this->steering.retryWaiting(now, this->actions);
+    this->perform(now);
+}
+
+void BalancerNode::steer(const SteerPacket& packet)
+{
+    const std::size_t length = this->messages.encodeHead(packet, this->peerSocket.headerSpace());
+    this->peerSocket.queue(packet.agent, length, packet.datagram);
+    if (packet.purpose == SteeringPurpose::KnownFlow) {
+        return;
+    }
+    if (const auto decoded = platform::decodePacket(packet.datagram)) {
+        const bool opens = packet.purpose == SteeringPurpose::NewFlow;
+        this->log.log(EventLog::Importance::Routine, opens ? "flow_offered" : "flow_searched",
+            { { "flow", formatFlow(decoded->keyFromCaller()) }, { "agent", formatEndpoint(packet.agent) },
+                { "wait_limit_ms", packet.waitLimit.count() }, { "copy", opens ? decoded->acknowledgement : 0 },
+                { "configuration", static_cast<std::int64_t>(this->directory.routes().version) } });
+    }
+}
+
+void BalancerNode::reset(const ResetFlow& action)
+{
+    this->metrics.refusals("steer flow", std::string(action.reason)).Increment();
+    this->log.log(EventLog::Importance::Notable, "flow_reset",
+        { { "flow", formatFlow(action.flow) }, { "reason", action.reason },
+            { "configuration", static_cast<std::int64_t>(this->directory.routes().version) } });
+    const auto datagram = platform::encodeReset(action.flow.service, action.flow.caller, action.sequence);
+    this->packetSocket.queue({ action.flow.caller.address, this->settings.packetAddress.port }, 0, datagram);
+    this->packetSocket.flush();
+}
+
+void BalancerNode::perform(TimePoint)
+{
+    for (const SteeringAction& action : this->actions) {
+        std::visit(Overloaded {
+                       [this](const SteerPacket& packet) { this->steer(packet); },
+                       [this](const ResetFlow& flow) { this->reset(flow); },
+                   },
+            action);
+    }
+    this->actions.clear();
+    this->peerSocket.flush();
+}
+
+void BalancerNode::takePackets()
+{
+    for (int batch = 0; batch < batchesPerCall; ++batch) {
+        const auto datagrams = this->packetSocket.receive();
+        if (datagrams.empty()) {
+            return;
+        }
+        const auto now = std::chrono::steady_clock::now();
+        this->lastPacket = now;
+        for (const ReceivedDatagram& datagram : datagrams) {
+            const auto packet = platform::decodePacket(datagram.bytes);
+            if (!packet) {
+                this->metrics.drops("steer flow", "malformed").Increment();
+                continue;
+            }
+            this->steering.packet(*packet, datagram.bytes, now, this->actions);
+            this->perform(now);
+        }
+    }
+}
+
+void BalancerNode::takeReport(const Endpoint& agent, const ReportMessage& message, TimePoint now)
+{
+    if (!this->placement.report(agent, message.load, now)) {
+        this->metrics.drops("take report", "old_or_unknown").Increment();
+    }
+    for (const VerdictMessage& item : message.verdicts) {
+        this->steering.verdict(agent, item.flow, item.verdict, now, this->actions);
+        if (item.verdict != FlowVerdict::Owned) {
+            this->metrics.retries("steer flow", std::string(flowVerdictName(item.verdict))).Increment();
+            this->log.log(EventLog::Importance::Notable, "flow_refused_by_agent",
+                { { "flow", formatFlow(item.flow) }, { "agent", formatEndpoint(agent) },
+                    { "verdict", flowVerdictName(item.verdict) }, { "working", message.load.working },
+                    { "opening", message.load.opening }, { "held", message.load.held },
+                    { "slots", message.load.slots } });
+        }
+    }
+    this->perform(now);
+}
+
+void BalancerNode::takeMessages()
+{
+    for (int batch = 0; batch < batchesPerCall; ++batch) {
+        const auto datagrams = this->peerSocket.receive();
+        if (datagrams.empty()) {
+            return;
+        }
+        const auto now = std::chrono::steady_clock::now();
+        for (const ReceivedDatagram& datagram : datagrams) {
+            const auto message = this->messages.decode(datagram.bytes);
+            if (message && std::holds_alternative<ReportMessage>(*message)) {
+                this->takeReport(datagram.source, std::get<ReportMessage>(*message), now);
+            } else {
+                this->metrics.drops("take message", "malformed").Increment();
+            }
+        }
+    }
+}
+
+void BalancerNode::sendHellos(TimePoint now)
+{
+    this->nextHello = now + helloInterval;
+    const auto hello = this->messages.encode(HelloMessage { this->lifetime });
+    for (const Endpoint& agent : this->placement.agents()) {
+        this->peerSocket.queue(agent, 0, hello);
+    }
+    this->peerSocket.flush();
+}
+
+void BalancerNode::tick(TimePoint now)
+{
+    this->reader.tick(now);
+    if (now >= this->nextExpiry) {
+        this->nextExpiry = now + expiryInterval;
+        if (this->directory.expire(now)) {
+            this->onDirectoryChange();
+        }
+    }
+    if (now >= this->nextHello) {
+        this->sendHellos(now);
+    }
+    if (now >= this->steering.nextTick()) {
+        this->steering.tick(now, this->actions);
+        this->perform(now);
+    }
+    this->flowCount = this->steering.flowCount();
+    this->reload.check(false, now);
+    this->log.flush();
+}
+
+std::chrono::milliseconds BalancerNode::timeout(TimePoint now) const
+{
+    TimePoint next = std::min({ this->reader.nextTick(), this->nextHello, this->steering.nextTick() });
+    if (this->stopping) {
+        next = std::min(next, now + milliseconds(100));
+    }
+    return std::clamp(std::chrono::ceil<milliseconds>(next - now), milliseconds(0), milliseconds(250));
+}
+
+void BalancerNode::startStop(TimePoint now)
+{
+    if (!this->stopping) {
+        this->stopping = true;
+        this->ready = false;
+        this->stopSince = now;
+        this->log.log(EventLog::Importance::Notable, "stopping",
+            { { "flows", static_cast<std::int64_t>(this->steering.flowCount()) } });
+    }
+}
+
+bool BalancerNode::isStopped(TimePoint now) const
+{
+    if (!this->stopping) {
+        return false;
+    }
+    const auto since = now - this->stopSince;
+    return since >= this->settings.stopGrace - stopMargin || (since >= leastStop && now - this->lastPacket >= quietStop);
+}
+
+std::string BalancerNode::status() const
+{
+    return fmt::format(R"({{"role":"balancer","instance":"{}","configuration":{},"flows":{},"ready":{}}})",
+        this->settings.instance, this->configurationVersion.load(), this->flowCount.load(), this->ready.load());
+}
+
+void BalancerNode::run()
+{
+    const AdminServer admin({ this->settings.readyAddress, this->settings.metricsAddress }, this->metrics,
+        { [this] { return this->ready.load(); }, [this] { return this->status(); }, platform::readinessPath });
+    this->log.log(EventLog::Importance::Notable, "started",
+        { { "packets", formatEndpoint(this->settings.packetAddress) },
+            { "peers", formatEndpoint(this->settings.peerAddress) },
+            { "store", formatEndpoint(this->settings.store) } });
+    this->loop.add(this->packetSocket.descriptor(), EPOLLIN, [this](std::uint32_t) { this->takePackets(); });
+    this->loop.add(this->peerSocket.descriptor(), EPOLLIN, [this](std::uint32_t) { this->takeMessages(); });
+    this->loop.add(this->signals.descriptor(), EPOLLIN, [this](std::uint32_t) {
+        const auto now = std::chrono::steady_clock::now();
+        const SignalWatch::Requests requests = this->signals.consume();
+        if (requests.reload) {
+            this->reload.check(true, now);
+        }
+        if (requests.stop) {
+            this->startStop(now);
+        }
+    });
+    while (!this->isStopped(std::chrono::steady_clock::now())) {
+        this->tick(std::chrono::steady_clock::now());
+        this->loop.runOnce(this->timeout(std::chrono::steady_clock::now()));
+    }
+    this->log.log(EventLog::Importance::Notable, "stopped", {});
+    this->log.flush();
+}
+
+}
--- a/src/app/BalancerProcess.cpp
+++ b/src/app/BalancerProcess.cpp
@@ -81,7 +81,7 @@
         this->applyView();
     });
     this->loop.add(this->signals.descriptor(), EPOLLIN, [this](std::uint32_t) {
-        if (this->signals.consume() && !this->draining) {
+        if (this->signals.consume().stop && !this->draining) {
             this->drainStart = std::chrono::steady_clock::now();
             this->draining = true;
             this->logger.info("draining", "stop");
--- a/src/app/CallerRequests.cpp
+++ b/src/app/CallerRequests.cpp
@@ -11,6 +11,7 @@
 #include "state/ConfigurationView.h"
 #include "support/Logger.h"
 #include "support/Metrics.h"
+#include "support/Overloaded.h"
 #include "transport/BackendClient.h"
 
 #include <algorithm>
@@ -33,11 +34,6 @@
     return std::visit([](const auto& any) { return any.request; }, event);
 }
 
-template <typename... Handlers> struct Overloaded : Handlers... {
-    using Handlers::operator()...;
-};
-template <typename... Handlers> Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 }
 
 CallerRequests::CallerRequests(PeerIdentity identity, std::chrono::milliseconds backendSilence, Logger& processLogger,
--- a/src/app/ConfigurationExchange.cpp
+++ b/src/app/ConfigurationExchange.cpp
@@ -5,6 +5,7 @@
 #include "state/ConfigurationView.h"
 #include "support/Logger.h"
 #include "support/Metrics.h"
+#include "support/Overloaded.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -35,11 +36,6 @@
     }
 }
 
-template <typename... Visitors> struct Overloaded : Visitors... {
-    using Visitors::operator()...;
-};
-template <typename... Visitors> Overloaded(Visitors...) -> Overloaded<Visitors...>;
-
 }
 
 ConfigurationExchange::ConfigurationExchange(const std::string& instance, const std::string& availabilityZone,
--- /dev/null
+++ b/src/app/SteeringMessages.cpp
@@ -0,0 +1,159 @@
+#include "app/SteeringMessages.h"
+
+#include "protocol/HeaderFrame.h"
+#include "steering.pb.h"
+
+#include <array>
+
+namespace chicoryferry {
+
+namespace {
+
+constexpr std::size_t maximumHeaderBytes = 2048;
+
+// A report that claims more is not one of ours.
+constexpr std::uint32_t mostSlots = 1'000'000;
+
+constexpr std::array<std::pair<wire::FlowVerdict::Verdict, FlowVerdict>, 7> verdicts { {
+    { wire::FlowVerdict::OWNED, FlowVerdict::Owned },
+    { wire::FlowVerdict::REFUSED_FULL, FlowVerdict::RefusedFull },
+    { wire::FlowVerdict::REFUSED_LEAVING, FlowVerdict::RefusedLeaving },
+    { wire::FlowVerdict::REFUSED_BACKEND, FlowVerdict::RefusedByBackendServer },
+    { wire::FlowVerdict::WRONG_SERVICE, FlowVerdict::WrongService },
+    { wire::FlowVerdict::NOT_FOUND, FlowVerdict::NotFound },
+    { wire::FlowVerdict::LOST, FlowVerdict::Lost },
+} };
+
+wire::SteeredPacket::Purpose toWire(SteeringPurpose purpose)
+{
+    switch (purpose) {
+    case SteeringPurpose::NewFlow:
+        return wire::SteeredPacket::NEW_FLOW;
+    case SteeringPurpose::Search:
+        return wire::SteeredPacket::SEARCH;
+    case SteeringPurpose::KnownFlow:
+        break;
+    }
+    return wire::SteeredPacket::KNOWN_FLOW;
+}
+
+SteeringPurpose fromWire(wire::SteeredPacket::Purpose purpose)
+{
+    switch (purpose) {
+    case wire::SteeredPacket::NEW_FLOW:
+        return SteeringPurpose::NewFlow;
+    case wire::SteeredPacket::SEARCH:
+        return SteeringPurpose::Search;
+    default:
+        return SteeringPurpose::KnownFlow;
+    }
+}
+
+std::optional<ReportMessage> readReport(const wire::AgentReport& report)
+{
+    if (report.slots() == 0 || report.slots() > mostSlots) {
+        return std::nullopt;
+    }
+    ReportMessage message;
+    message.load = { report.lifetime(), report.sequence(), report.service(), report.slots(), report.working(),
+        report.opening(), report.held(), report.long_running(), std::chrono::microseconds(report.mean_work_us()),
+        report.leaving() };
+    for (const wire::FlowVerdict& item : report.verdicts()) {
+        for (const auto& [wireVerdict, verdict] : verdicts) {
+            if (item.verdict() == wireVerdict) {
+                const wire::SteeredFlow& flow = item.flow();
+                message.verdicts.push_back(
+                    { { { flow.caller_address(), static_cast<std::uint16_t>(flow.caller_port()) },
+                          { flow.service_address(), static_cast<std::uint16_t>(flow.service_port()) } },
+                        verdict });
+            }
+        }
+    }
+    return message;
+}
+
+}
+
+SteeringMessages::SteeringMessages()
+    : header(std::make_unique<wire::SteeringHeader>())
+{
+}
+
+SteeringMessages::~SteeringMessages() = default;
+
+std::size_t SteeringMessages::encodeHead(const SteerPacket& packet, std::span<std::uint8_t> output)
+{
+    wire::SteeredPacket& head = *this->header->mutable_packet();
+    head.set_purpose(toWire(packet.purpose));
+    head.set_service(packet.service);
+    head.set_wait_limit_ms(static_cast<std::uint32_t>(packet.waitLimit.count()));
+    head.set_priority(packet.priority);
+    head.set_slots(packet.slots);
+    return encodeHeaderFrame(*this->header, output);
+}
+
+std::vector<std::uint8_t> SteeringMessages::encodeHeader() const
+{
+    std::vector<std::uint8_t> datagram(maximumHeaderBytes);
+    datagram.resize(encodeHeaderFrame(*this->header, datagram));
+    return datagram;
+}
+
+std::vector<std::uint8_t> SteeringMessages::encode(const ReportMessage& message)
+{
+    wire::AgentReport& report = *this->header->mutable_report();
+    const AgentLoad& load = message.load;
+    report.Clear();
+    report.set_lifetime(load.lifetime);
+    report.set_sequence(load.sequence);
+    report.set_service(load.service);
+    report.set_slots(load.slots);
+    report.set_working(load.working);
+    report.set_opening(load.opening);
+    report.set_held(load.held);
+    report.set_long_running(load.longRunning);
+    report.set_mean_work_us(static_cast<std::uint32_t>(load.meanWork.count()));
+    report.set_leaving(load.leaving);
+    for (const VerdictMessage& verdict : message.verdicts) {
+        wire::FlowVerdict& item = *report.add_verdicts();
+        item.mutable_flow()->set_caller_address(verdict.flow.caller.address);
+        item.mutable_flow()->set_caller_port(verdict.flow.caller.port);
+        item.mutable_flow()->set_service_address(verdict.flow.service.address);
+        item.mutable_flow()->set_service_port(verdict.flow.service.port);
+        for (const auto& [wireVerdict, value] : verdicts) {
+            if (value == verdict.verdict) {
+                item.set_verdict(wireVerdict);
+            }
+        }
+    }
+    return this->encodeHeader();
+}
+
+std::vector<std::uint8_t> SteeringMessages::encode(const HelloMessage& message)
+{
+    this->header->mutable_hello()->set_lifetime(message.lifetime);
+    return this->encodeHeader();
+}
+
+std::optional<SteeringMessage> SteeringMessages::decode(std::span<const std::uint8_t> datagram)
+{
+    const auto payload = decodeHeaderFrame(datagram, maximumHeaderBytes, *this->header);
+    if (!payload) {
+        return std::nullopt;
+    }
+    if (this->header->has_packet()) {
+        const wire::SteeredPacket& head = this->header->packet();
+        return SteerPacket { {}, fromWire(head.purpose()), head.service(),
+            std::chrono::milliseconds(head.wait_limit_ms()), head.priority(), head.slots(), *payload };
+    }
+    if (this->header->has_report()) {
+        auto report = readReport(this->header->report());
+        return report ? std::optional<SteeringMessage>(std::move(*report)) : std::nullopt;
+    }
+    if (this->header->has_hello()) {
+        return HelloMessage { this->header->hello().lifetime() };
+    }
+    return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/src/app/StoreReader.cpp
@@ -0,0 +1,202 @@
+#include "app/StoreReader.h"
+
+#include "platform/StoreDocuments.h"
+#include "state/HostDirectory.h"
+#include "support/Error.h"
+#include "support/EventLog.h"
+#include "support/Metrics.h"
+
+#include <algorithm>
+
+namespace chicoryferry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int statusOk = 200;
+constexpr int statusGone = 410;
+
+// The store answers in 4 ms, and 60 times as slowly at times.
+constexpr milliseconds callTimeout { 1000 };
+
+// A connection that went silent is found after this time and callTimeout, which leaves time to apply a change within
+// the 4 s + 3 s for machines in touch.
+constexpr milliseconds watchWait { 5000 };
+
+// Changes that follow each other are taken with one call; they must be in force within 3 s.
+constexpr milliseconds changesPause { 150 };
+
+constexpr milliseconds firstBackoff { 100 };
+constexpr milliseconds longestBackoff { 1000 };
+
+// A page holds at most 1 MB of values as base64 text.
+constexpr std::size_t maximumAnswerBytes = 4'000'000;
+
+}
+
+StoreReader::StoreReader(const Endpoint& storeAddress, EventLoop& eventLoop, HostDirectory& hostDirectory,
+    EventLog& eventLog, Metrics& processMetrics, std::uint64_t seed, std::function<void()> changeHandler)
+    : store(storeAddress)
+    , loop(eventLoop)
+    , directory(hostDirectory)
+    , log(eventLog)
+    , metrics(processMetrics)
+    , onChange(std::move(changeHandler))
+    , random(static_cast<std::minstd_rand::result_type>(seed))
+{
+}
+
+StoreReader::~StoreReader() = default;
+
+StoreReader::TimePoint StoreReader::nextTick() const { return this->exchange ? this->deadline : this->nextCall; }
+
+void StoreReader::tick(TimePoint now)
+{
+    this->finished.reset();
+    if (this->exchange && now >= this->deadline) {
+        const std::string step = this->exchange->step();
+        this->exchange.reset();
+        this->fail(step, "no answer in time", now);
+    }
+    if (!this->exchange && now >= this->nextCall) {
+        this->startCall(now);
+    }
+}
+
+void StoreReader::startCall(TimePoint now)
+{
+    const std::string target = this->listing ? platform::listTarget(this->listAfter)
+                                             : platform::watchTarget(this->watchedRevision, watchWait);
+    this->callStart = now;
+    this->deadline = now + callTimeout + (this->listing ? milliseconds(0) : watchWait);
+    this->metrics.events("store_call").Increment();
+    this->exchange = std::make_unique<HttpExchange>(this->loop, this->store, target, maximumAnswerBytes,
+        [this](HttpExchange::Result result) { this->onResult(std::move(result)); });
+}
+
+void StoreReader::fail(const std::string& step, const std::string& reason, TimePoint now)
+{
+    this->metrics.retries("read store", "store_unavailable").Increment();
+    if (!this->unavailable) {
+        this->unavailable = true;
+        this->log.log(EventLog::Importance::Notable, "store_lost",
+            { { "step", step }, { "reason", reason }, { "revision", static_cast<std::int64_t>(this->watchedRevision) },
+                { "configuration", static_cast<std::int64_t>(this->directory.routes().version) } });
+    }
+    this->backoff = std::clamp(this->backoff * 2, firstBackoff, longestBackoff);
+    // Spreads the calls of many processes after the store has returned.
+    const auto jitter = std::uniform_int_distribution<std::int64_t>(0, this->backoff.count() / 2)(this->random);
+    this->nextCall = now + this->backoff / 2 + milliseconds(jitter);
+}
+
+void StoreReader::succeeded(TimePoint now)
+{
+    this->backoff = milliseconds(0);
+    this->nextCall = now;
+    if (this->unavailable) {
+        this->unavailable = false;
+        this->log.log(EventLog::Importance::Notable, "store_regained",
+            { { "revision", static_cast<std::int64_t>(this->watchedRevision) } });
+    }
+}
+
+void StoreReader::onResult(HttpExchange::Result result)
+{
+    const auto now = std::chrono::steady_clock::now();
+    this->finished = std::move(this->exchange);
+    if (result.status == 0) {
+        this->fail(result.step, result.reason, now);
+        return;
+    }
+    if (result.status == statusGone && !this->listing) {
+        this->log.log(EventLog::Importance::Notable, "store_history_gone",
+            { { "revision", static_cast<std::int64_t>(this->watchedRevision) } });
+        this->listing = true;
+        this->nextCall = now;
+        return;
+    }
+    if (result.status != statusOk) {
+        this->fail("read store", "status " + std::to_string(result.status), now);
+        return;
+    }
+    try {
+        if (this->listing) {
+            this->takeListing(platform::parseListAnswer(result.body), now);
+        } else {
+            this->takeEvents(platform::parseWatchAnswer(result.body), now);
+        }
+    } catch (const Error& error) {
+        this->fail(error.step(), error.what(), now);
+    }
+}
+
+void StoreReader::apply(const platform::StoreAnswer& answer, TimePoint now)
+{
+    bool changed = false;
+    for (const DirectoryChange& change : answer.changes) {
+        const auto effect = this->directory.apply(change, now);
+        changed = changed || effect == HostDirectory::Effect::HostsChanged
+            || effect == HostDirectory::Effect::RoutesChanged;
+        if (effect == HostDirectory::Effect::RefusedMalformed) {
+            this->metrics.refusals("read store", "malformed_entry").Increment();
+            const auto* removed = std::get_if<HostRemoved>(&change);
+            this->log.log(EventLog::Importance::Notable, "entry_refused",
+                { { "host", removed == nullptr ? std::string_view() : std::string_view(removed->id) },
+                    { "reason", "malformed" } });
+        } else if (effect == HostDirectory::Effect::RefusedOlder) {
+            this->metrics.refusals("read store", "older_version").Increment();
+            this->log.log(EventLog::Importance::Notable, "change_refused",
+                { { "reason", "older" },
+                    { "configuration", static_cast<std::int64_t>(this->directory.routes().version) } });
+        } else if (effect == HostDirectory::Effect::RoutesChanged) {
+            this->log.log(EventLog::Importance::Notable, "configuration_in_force",
+                { { "configuration", static_cast<std::int64_t>(this->directory.routes().version) },
+                    { "revision", static_cast<std::int64_t>(answer.revision) },
+                    { "routes", static_cast<std::int64_t>(this->directory.routes().routes.size()) } });
+        } else if (effect == HostDirectory::Effect::HostsChanged) {
+            const auto* written = std::get_if<HostWritten>(&change);
+            const auto* removed = std::get_if<HostRemoved>(&change);
+            this->log.log(EventLog::Importance::Notable, "host_changed",
+                { { "host", written != nullptr ? written->entry.id : removed->id },
+                    { "state",
+                        written == nullptr           ? "gone"
+                            : written->entry.draining ? "draining"
+                                                      : "ready" },
+                    { "revision", static_cast<std::int64_t>(answer.revision) } });
+        }
+    }
+    if (changed) {
+        this->onChange();
+    }
+}
+
+void StoreReader::takeListing(const platform::StoreAnswer& answer, TimePoint now)
+{
+    if (this->listAfter.empty()) {
+        // Pages are not a snapshot: changes behind the first one are watched for.
+        this->listRevision = answer.revision;
+        this->directory.beginListing();
+    }
+    this->apply(answer, now);
+    this->listAfter = answer.nextAfter;
+    this->succeeded(now);
+    if (!this->listAfter.empty()) {
+        return;
+    }
+    this->listing = false;
+    this->watchedRevision = std::max(this->watchedRevision, this->listRevision);
+    if (this->directory.endListing(now)) {
+        this->onChange();
+    }
+}
+
+void StoreReader::takeEvents(const platform::StoreAnswer& answer, TimePoint now)
+{
+    this->apply(answer, now);
+    this->watchedRevision = std::max(this->watchedRevision, answer.revision);
+    this->succeeded(now);
+    this->nextCall = answer.changes.empty() ? now : now + changesPause;
+}
+
+}
--- /dev/null
+++ b/src/coordination/AgentLoad.cpp
@@ -0,0 +1,32 @@
+#include "coordination/AgentLoad.h"
+
+#include <algorithm>
+
+namespace chicoryferry {
+
+namespace {
+
+// A long request runs about seven times the mean (the users' site files); once it is seen to be long, about half of
+// that is left.
+constexpr int meansLeftOfLongRequest = 3;
+
+}
+
+std::chrono::microseconds expectedWait(const AgentLoad& load, std::uint32_t more)
+{
+    const auto work = load.meanWork.count() > 0 ? load.meanWork : assumedWork;
+    const std::uint32_t slots = std::max(1U, load.slots);
+    const std::uint32_t occupied = load.occupied() + more;
+    if (occupied < slots) {
+        return std::chrono::microseconds(0);
+    }
+    const std::uint32_t stuck = std::min(load.longRunning, slots);
+    if (stuck == slots) {
+        return work * (meansLeftOfLongRequest + (occupied - slots) / slots);
+    }
+    // The requests on the other slots are half done on average.
+    const std::uint32_t moving = slots - stuck;
+    return work * (2 * (occupied - slots) + 1) / (2 * moving);
+}
+
+}
--- /dev/null
+++ b/src/coordination/AgentLoad.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace chicoryferry {
+
+// The load of one backend server, counted by its agent from the packets that pass.
+struct AgentLoad {
+    std::uint64_t lifetime { 0 }; // drawn at each start of the agent
+    std::uint64_t sequence { 0 }; // rises with each report of a lifetime
+    std::uint64_t service { 0 }; // serviceHash() of the service that the agent's backend server serves
+    std::uint32_t slots { 1 };
+    std::uint32_t working { 0 }; // requests at the backend server without an answer
+    std::uint32_t opening { 0 }; // flows delivered that have not carried a request
+    std::uint32_t held { 0 }; // flows that wait for a slot
+    std::uint32_t longRunning { 0 }; // of the working ones, those that have run for far longer than the mean
+    std::chrono::microseconds meanWork { 0 }; // time that a request occupies a slot; 0: not known
+    bool leaving { false };
+
+    std::uint32_t occupied() const { return this->working + this->opening + this->held; }
+};
+
+// The expected time until a slot is free for one more request, with `more` requests on their way besides those that the
+// load counts. A slot on which a long request runs is not expected to be free soon.
+std::chrono::microseconds expectedWait(const AgentLoad&, std::uint32_t more);
+
+// Stands for the time of a request on a slot until an agent has measured it; the mean of the users' services.
+inline constexpr std::chrono::microseconds assumedWork { 15000 };
+
+}
--- /dev/null
+++ b/src/coordination/FlowPlacement.cpp
@@ -0,0 +1,175 @@
+#include "coordination/FlowPlacement.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace chicoryferry {
+
+namespace {
+
+// A backend server that has just started takes 1.6 times as long (the users' site files).
+constexpr double coldSlowdown = 0.6;
+
+// A packet to another availability zone takes up to 1 ms longer each way and its bytes are paid for; a slot that is
+// free here is preferred to a free slot there, but not to a shorter wait.
+constexpr double otherZoneCostMs = 1.0;
+
+// Reports are up to 10 ms old, so that a fuller host is more likely to be full already.
+constexpr double occupancyCostMs = 4.0;
+
+// Spreads the choices of several balancers over equally good agents.
+constexpr double jitterCostMs = 0.5;
+
+// An agent whose load is not known, or that gave no verdict, comes after all others.
+constexpr double unknownCostMs = 200.0;
+constexpr double silentCostMs = 10000.0;
+
+// Agents report at least every 250 ms; three missed reports mean that the load is not known.
+constexpr std::chrono::milliseconds reportLifetime { 900 };
+
+double milliseconds(std::chrono::microseconds duration) { return static_cast<double>(duration.count()) / 1000.0; }
+
+}
+
+std::uint64_t serviceHash(const std::string& service) { return XXH3_64bits(service.data(), service.size()); }
+
+FlowPlacement::FlowPlacement(std::string zone, std::uint64_t seed)
+    : availabilityZone(std::move(zone))
+    , random(static_cast<std::minstd_rand::result_type>(seed))
+{
+}
+
+void FlowPlacement::setAgents(const std::vector<Agent>& agents, TimePoint now)
+{
+    std::map<Endpoint, State> next;
+    this->byService.clear();
+    for (const Agent& agent : agents) {
+        State state;
+        const auto found = this->states.find(agent.address);
+        if (found != this->states.end() && found->second.host.service == agent.host.service) {
+            state = found->second;
+        }
+        state.host = agent.host;
+        state.learnedAt = std::min(agent.learnedAt, now);
+        next.insert_or_assign(agent.address, std::move(state));
+        this->byService[agent.host.service].push_back(agent.address);
+    }
+    this->states = std::move(next);
+}
+
+bool FlowPlacement::report(const Endpoint& agent, const AgentLoad& load, TimePoint now)
+{
+    const auto found = this->states.find(agent);
+    if (found == this->states.end()) {
+        return false;
+    }
+    State& state = found->second;
+    if (state.reported && state.load.lifetime == load.lifetime && load.sequence <= state.load.sequence) {
+        return false;
+    }
+    if (state.load.lifetime != load.lifetime) {
+        state.unanswered = 0;
+    }
+    state.load = load;
+    state.reportedAt = now;
+    state.reported = true;
+    state.silent = false;
+    return true;
+}
+
+double FlowPlacement::cost(const State& state, TimePoint now, std::chrono::microseconds& wait)
+{
+    const bool known = state.reported && now - state.reportedAt < reportLifetime;
+    AgentLoad load = known ? state.load : AgentLoad {};
+    load.slots = std::max(1U, state.host.slots);
+    wait = expectedWait(load, state.unanswered);
+    double total = milliseconds(wait) + occupancyCostMs * (load.occupied() + state.unanswered) / load.slots;
+    if (state.learnedAt + state.host.coldRemaining > now) {
+        total += coldSlowdown * milliseconds(load.meanWork.count() > 0 ? load.meanWork : assumedWork);
+    }
+    if (state.host.availabilityZone != this->availabilityZone) {
+        total += otherZoneCostMs;
+    }
+    if (!known) {
+        total += unknownCostMs;
+    }
+    if (state.silent) {
+        total += silentCostMs;
+    }
+    return total + std::uniform_real_distribution<double>(0, jitterCostMs)(this->random);
+}
+
+std::optional<PlacementChoice> FlowPlacement::choose(
+    const std::string& service, std::span<const Endpoint> tried, TimePoint now)
+{
+    const auto agents = this->byService.find(service);
+    if (agents == this->byService.end()) {
+        return std::nullopt;
+    }
+    std::optional<PlacementChoice> best;
+    double bestCost = 0;
+    for (const Endpoint& address : agents->second) {
+        const State& state = this->states.at(address);
+        if (state.host.draining || (state.reported && state.load.leaving)
+            || std::find(tried.begin(), tried.end(), address) != tried.end()) {
+            continue;
+        }
+        std::chrono::microseconds wait {};
+        const double agentCost = this->cost(state, now, wait);
+        if (!best || agentCost < bestCost) {
+            best = PlacementChoice { address, wait,
+                std::chrono::duration_cast<std::chrono::milliseconds>(now - state.reportedAt), state.host.slots };
+            bestCost = agentCost;
+        }
+    }
+    return best;
+}
+
+void FlowPlacement::sent(const Endpoint& agent)
+{
+    const auto found = this->states.find(agent);
+    if (found != this->states.end()) {
+        ++found->second.unanswered;
+    }
+}
+
+void FlowPlacement::answered(const Endpoint& agent)
+{
+    const auto found = this->states.find(agent);
+    if (found != this->states.end() && found->second.unanswered > 0) {
+        --found->second.unanswered;
+    }
+}
+
+void FlowPlacement::silent(const Endpoint& agent)
+{
+    const auto found = this->states.find(agent);
+    if (found != this->states.end()) {
+        found->second.silent = true;
+    }
+    this->answered(agent);
+}
+
+bool FlowPlacement::isSilent(const Endpoint& agent) const
+{
+    const auto found = this->states.find(agent);
+    return found == this->states.end() || found->second.silent;
+}
+
+std::vector<Endpoint> FlowPlacement::agentsOf(const std::string& service) const
+{
+    const auto found = this->byService.find(service);
+    return found == this->byService.end() ? std::vector<Endpoint>() : found->second;
+}
+
+std::vector<Endpoint> FlowPlacement::agents() const
+{
+    std::vector<Endpoint> addresses;
+    addresses.reserve(this->states.size());
+    for (const auto& [address, state] : this->states) {
+        addresses.push_back(address);
+    }
+    return addresses;
+}
+
+}
--- /dev/null
+++ b/src/coordination/FlowSteering.cpp
@@ -0,0 +1,317 @@
+#include "coordination/FlowSteering.h"
+
+#include "coordination/FlowPlacement.h"
+#include "state/HostDirectory.h"
+
+#include <algorithm>
+
+namespace chicoryferry {
+
+namespace {
+
+// An agent answers within two ways through the network (at most 4 ms) and its scheduling delay; well below the 200 ms
+// after which the caller repeats its packet.
+constexpr std::chrono::milliseconds verdictTimeout { 30 };
+
+// A new flow waits this long for the configuration or for an agent, for example just after the start. The caller
+// repeats its packet after 200 ms.
+constexpr std::chrono::milliseconds agentWait { 150 };
+
+// Each further agent costs a round trip, and the first refusals show that the service is full.
+constexpr std::size_t mostAgentsTried = 4;
+
+// Bounds the memory of flows that wait for the configuration or an agent; about 200 bytes each.
+constexpr std::size_t mostOpenings = 4096;
+
+// The part of the target latency that may be spent waiting for a slot; the rest is for the run and the way.
+constexpr double waitShareOfTarget = 0.6;
+
+// A flow whose caller repeated its first packet is late already, so that it yields to flows that can be in time. It may
+// wait for this part of the time that is left.
+constexpr double waitShareOfRest = 0.25;
+constexpr std::uint32_t latePriority = 100;
+
+// The caller repeats its first packet after 200 ms and after 600 ms.
+constexpr std::chrono::milliseconds firstCopyAge { 200 };
+constexpr std::chrono::milliseconds secondCopyAge { 600 };
+
+// Covers repeated packets after both ends have finished.
+constexpr std::chrono::milliseconds closedFlowLifetime { 2000 };
+
+constexpr std::chrono::milliseconds sweepInterval { 1000 };
+
+std::chrono::milliseconds waitLimit(const FlowRoute& route, std::uint32_t copies)
+{
+    if (copies == 0) {
+        return std::chrono::milliseconds(
+            static_cast<std::int64_t>(waitShareOfTarget * static_cast<double>(route.targetLatency.count())));
+    }
+    const auto age = copies == 1 ? firstCopyAge : secondCopyAge;
+    const auto rest = std::max(route.timeout - age, std::chrono::milliseconds(0));
+    return std::chrono::milliseconds(static_cast<std::int64_t>(waitShareOfRest * static_cast<double>(rest.count())));
+}
+
+// Flows with a longer target latency are late later.
+bool isLate(const FlowRoute& route, std::uint32_t copies)
+{
+    return copies > 0 && route.targetLatency <= (copies == 1 ? firstCopyAge : secondCopyAge);
+}
+
+}
+
+FlowSteering::FlowSteering(const HostDirectory& hostDirectory, FlowPlacement& flowPlacement)
+    : directory(hostDirectory)
+    , placement(flowPlacement)
+{
+}
+
+void FlowSteering::wait(Opening& opening, TimePoint now) const
+{
+    if (!opening.waiting) {
+        opening.waiting = true;
+        opening.deadline = now + agentWait;
+    }
+}
+
+bool FlowSteering::place(
+    const FlowKey& key, Opening& opening, TimePoint now, std::vector<SteeringAction>& actions)
+{
+    if (!this->directory.hasRoutes()) {
+        this->wait(opening, now);
+        return true;
+    }
+    const FlowRoute* route = this->directory.route(key.service);
+    if (route == nullptr) {
+        actions.emplace_back(ResetFlow { key, 0, "no_route" });
+        return false;
+    }
+    const auto choice = this->placement.choose(route->service, opening.tried, now);
+    if (!choice) {
+        if (opening.tried.empty()) {
+            this->wait(opening, now);
+            return true;
+        }
+        actions.emplace_back(ResetFlow { key, 0, "all_refused" });
+        return false;
+    }
+    const auto limit = waitLimit(*route, opening.copies);
+    if (choice->expectedWait > limit || opening.tried.size() >= mostAgentsTried) {
+        actions.emplace_back(ResetFlow { key, 0, "no_slot_in_time" });
+        return false;
+    }
+    opening.waiting = false;
+    opening.tried.push_back(choice->agent);
+    opening.deadline = now + verdictTimeout;
+    this->placement.sent(choice->agent);
+    const std::uint32_t priority = route->priority + (isLate(*route, opening.copies) ? latePriority : 0);
+    actions.emplace_back(SteerPacket { choice->agent, SteeringPurpose::NewFlow, serviceHash(route->service), limit,
+        priority, choice->slots, opening.datagram });
+    return true;
+}
+
+void FlowSteering::firstPacket(const FlowPacket& packet, std::span<const std::uint8_t> datagram, TimePoint now,
+    std::vector<SteeringAction>& actions)
+{
+    const FlowKey key = packet.keyFromCaller();
+    const auto flow = this->flows.find(key);
+    if (flow != this->flows.end()) {
+        flow->second.lastPacket = now;
+        // The answer of the backend server was lost, or the flow still waits for a slot: its owner sees the copy.
+        if (flow->second.owners.size() == 1 && !this->placement.isSilent(flow->second.owners.front())) {
+            const FlowRoute* route = this->directory.route(key.service);
+            const auto limit = route == nullptr ? std::chrono::milliseconds(0) : waitLimit(*route, 1);
+            actions.emplace_back(SteerPacket { flow->second.owners.front(), SteeringPurpose::NewFlow,
+                serviceHash(flow->second.service), limit, latePriority, 0, datagram });
+            return;
+        }
+        this->flows.erase(flow);
+    }
+    const auto opening = this->openings.find(key);
+    if (opening == this->openings.end() && this->openings.size() >= mostOpenings) {
+        actions.emplace_back(ResetFlow { key, 0, "too_many_openings" });
+        return;
+    }
+    Opening& entry = this->openings[key];
+    if (entry.datagram.empty()) {
+        entry.firstPacket = now;
+    } else if (!entry.waiting) {
+        return; // the verdict on the earlier copy is still to come, or tick() passes it on
+    }
+    entry.datagram.assign(datagram.begin(), datagram.end());
+    entry.copies = packet.acknowledgement;
+    if (!this->place(key, entry, now, actions)) {
+        this->openings.erase(key);
+    }
+}
+
+void FlowSteering::laterPacket(const FlowPacket& packet, std::span<const std::uint8_t> datagram, TimePoint now,
+    std::vector<SteeringAction>& actions)
+{
+    const FlowKey key = packet.keyFromCaller();
+    const auto found = this->flows.find(key);
+    if (found != this->flows.end() && !found->second.owners.empty()) {
+        Flow& flow = found->second;
+        if (this->directory.hasRoutes() && this->directory.route(key.service) == nullptr) {
+            actions.emplace_back(ResetFlow { key, packet.acknowledgement, "route_removed" });
+            this->flows.erase(found);
+            return;
+        }
+        flow.lastPacket = now;
+        flow.lastAcknowledgement = packet.acknowledgement;
+        flow.closing = flow.closing || packet.finishes || packet.resets;
+        flow.opening.reset();
+        const auto purpose = flow.owners.size() == 1 ? SteeringPurpose::KnownFlow : SteeringPurpose::Search;
+        for (const Endpoint& owner : flow.owners) {
+            actions.emplace_back(SteerPacket { owner, purpose, serviceHash(flow.service), {}, 0, 0, datagram });
+        }
+        return;
+    }
+    const FlowRoute* route = this->directory.route(key.service);
+    if (route == nullptr) {
+        if (this->directory.hasRoutes()) {
+            actions.emplace_back(ResetFlow { key, packet.acknowledgement, "no_route" });
+        }
+        return;
+    }
+    Flow& flow = this->flows[key];
+    flow.service = route->service;
+    flow.lastPacket = now;
+    flow.lastAcknowledgement = packet.acknowledgement;
+    const std::uint64_t service = serviceHash(route->service);
+    for (const Endpoint& agent : this->placement.agentsOf(route->service)) {
+        actions.emplace_back(SteerPacket { agent, SteeringPurpose::Search, service, {}, 0, 0, datagram });
+    }
+}
+
+void FlowSteering::packet(const FlowPacket& packet, std::span<const std::uint8_t> datagram, TimePoint now,
+    std::vector<SteeringAction>& actions)
+{
+    if (packet.isFirst()) {
+        this->firstPacket(packet, datagram, now, actions);
+    } else {
+        this->laterPacket(packet, datagram, now, actions);
+    }
+}
+
+void FlowSteering::placeOrForget(Openings::iterator opening, TimePoint now, std::vector<SteeringAction>& actions)
+{
+    if (!this->place(opening->first, opening->second, now, actions)) {
+        this->openings.erase(opening);
+    }
+}
+
+void FlowSteering::owned(const Endpoint& agent, const FlowKey& key, TimePoint now)
+{
+    Flow& flow = this->flows[key];
+    flow.lastPacket = now;
+    const FlowRoute* route = this->directory.route(key.service);
+    if (flow.service.empty() && route != nullptr) {
+        flow.service = route->service;
+    }
+    const auto opening = this->openings.find(key);
+    if (opening == this->openings.end()) {
+        // While the flow may be at several agents, only the one that has seen the caller's next packet counts.
+        if (!flow.opening || flow.owners.empty()) {
+            flow.owners.assign(1, agent);
+        } else if (std::find(flow.owners.begin(), flow.owners.end(), agent) == flow.owners.end()) {
+            flow.owners.push_back(agent);
+        }
+        return;
+    }
+    if (std::find(flow.owners.begin(), flow.owners.end(), agent) == flow.owners.end()) {
+        flow.owners.push_back(agent);
+    }
+    const auto& tried = opening->second.tried;
+    if (!opening->second.waiting && !tried.empty() && tried.back() == agent) {
+        this->placement.answered(agent);
+    }
+    flow.opening = std::move(opening->second);
+    this->openings.erase(opening);
+}
+
+void FlowSteering::notOwned(const Endpoint& agent, const FlowKey& key, FlowVerdict verdict, TimePoint now,
+    std::vector<SteeringAction>& actions)
+{
+    const auto opening = this->openings.find(key);
+    if (opening != this->openings.end()) {
+        const auto& tried = opening->second.tried;
+        if (!opening->second.waiting && !tried.empty() && tried.back() == agent) {
+            this->placement.answered(agent);
+            this->placeOrForget(opening, now, actions);
+        }
+        return;
+    }
+    const auto found = this->flows.find(key);
+    if (found == this->flows.end() || std::erase(found->second.owners, agent) == 0
+        || !found->second.owners.empty()) {
+        return;
+    }
+    Flow& flow = found->second;
+    if (flow.opening) {
+        // The agent admitted the flow and its backend server did not: nothing has run, another one may take it.
+        const auto placed = this->openings.insert_or_assign(key, std::move(*flow.opening)).first;
+        this->flows.erase(found);
+        this->placeOrForget(placed, now, actions);
+        return;
+    }
+    if (verdict == FlowVerdict::Lost) {
+        actions.emplace_back(ResetFlow { key, flow.lastAcknowledgement, "lost_by_backend_server" });
+        this->flows.erase(found);
+    }
+}
+
+void FlowSteering::verdict(const Endpoint& agent, const FlowKey& key, FlowVerdict verdict, TimePoint now,
+    std::vector<SteeringAction>& actions)
+{
+    if (verdict == FlowVerdict::Owned) {
+        this->owned(agent, key, now);
+    } else {
+        this->notOwned(agent, key, verdict, now, actions);
+    }
+}
+
+void FlowSteering::retryWaiting(TimePoint now, std::vector<SteeringAction>& actions)
+{
+    for (auto opening = this->openings.begin(); opening != this->openings.end();) {
+        const bool stays = !opening->second.waiting || this->place(opening->first, opening->second, now, actions);
+        opening = stays ? std::next(opening) : this->openings.erase(opening);
+    }
+}
+
+void FlowSteering::tick(TimePoint now, std::vector<SteeringAction>& actions)
+{
+    for (auto opening = this->openings.begin(); opening != this->openings.end();) {
+        if (opening->second.deadline > now) {
+            ++opening;
+            continue;
+        }
+        bool stays = false;
+        if (opening->second.waiting) {
+            actions.emplace_back(ResetFlow { opening->first, 0, "no_agent" });
+        } else {
+            this->placement.silent(opening->second.tried.back());
+            stays = this->place(opening->first, opening->second, now, actions);
+        }
+        opening = stays ? std::next(opening) : this->openings.erase(opening);
+    }
+    if (now < this->nextSweep) {
+        return;
+    }
+    this->nextSweep = now + sweepInterval;
+    const auto idleLimit = this->directory.routes().idleTimeout;
+    std::erase_if(this->flows, [&](const auto& item) {
+        const auto idle = now - item.second.lastPacket;
+        return idle > idleLimit || (item.second.closing && idle > closedFlowLifetime);
+    });
+}
+
+FlowSteering::TimePoint FlowSteering::nextTick() const
+{
+    TimePoint next = this->nextSweep;
+    for (const auto& [key, opening] : this->openings) {
+        next = std::min(next, opening.deadline);
+    }
+    return next;
+}
+
+}
--- /dev/null
+++ b/src/coordination/HostAdmission.cpp
@@ -0,0 +1,287 @@
+#include "coordination/HostAdmission.h"
+
+#include <algorithm>
+
+namespace chicoryferry {
+
+namespace {
+
+// A slot is idle between an answer and the next request unless flows are opened ahead: the handshake takes up to 8 ms
+// against 13 ms of work. The backend server queues 8.
+constexpr std::uint32_t openedAheadPerSlot = 1;
+
+// Weight of one request in the mean; the mean follows a change within some ten requests.
+constexpr int meanWeight = 16;
+
+// A request that has run for this many times the mean is a long one.
+constexpr int longRequestMeans = 3;
+
+// An agent that started less than the lifetime of a flow ago may have a backend server with older flows.
+constexpr std::chrono::seconds flowLifetime { 60 };
+
+// A backend server returns a packet of a flow that it does not hold at once.
+constexpr std::chrono::milliseconds trialLifetime { 2000 };
+
+// A flow that is idle for longer may be discarded; the balancers ask again when it goes on.
+constexpr std::chrono::milliseconds idleLimit { 30000 };
+
+constexpr std::chrono::milliseconds sweepInterval { 500 };
+
+// The prediction of the wait may be short by one request.
+constexpr std::chrono::milliseconds heldSlack { 25 };
+
+}
+
+HostAdmission::HostAdmission(std::uint64_t agentLifetime, std::uint64_t ownService, MarkReader requestReader,
+    MarkReader answerReader, TimePoint now)
+    : lifetime(agentLifetime)
+    , service(ownService)
+    , readRequest(std::move(requestReader))
+    , readAnswer(std::move(answerReader))
+    , startedAt(now)
+{
+}
+
+std::uint32_t HostAdmission::deliveryLimit() const { return this->slots * (1 + openedAheadPerSlot); }
+
+std::uint32_t HostAdmission::occupied() const
+{
+    return this->flows.opening() + this->flows.working() + static_cast<std::uint32_t>(this->held.size());
+}
+
+AgentLoad HostAdmission::currentLoad(TimePoint now) const
+{
+    AgentLoad load;
+    load.lifetime = this->lifetime;
+    load.sequence = this->sequence;
+    load.service = this->service;
+    load.slots = this->slots;
+    load.working = this->flows.working();
+    load.opening = this->flows.opening();
+    load.held = static_cast<std::uint32_t>(this->held.size());
+    load.meanWork = this->meanWork;
+    const auto mean = this->meanWork.count() > 0 ? this->meanWork : assumedWork;
+    load.longRunning = this->flows.workingLongerThan(mean * longRequestMeans, now);
+    load.leaving = this->leaving;
+    return load;
+}
+
+AgentLoad HostAdmission::load(TimePoint now)
+{
+    ++this->sequence;
+    return this->currentLoad(now);
+}
+
+void HostAdmission::newFlow(const FlowOffer& offer, std::uint64_t flowService, const FlowPacket& packet,
+    std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions)
+{
+    const FlowKey key = packet.keyFromCaller();
+    if (flowService != this->service) {
+        actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::WrongService, {}, {} });
+        return;
+    }
+    if (offer.slots > 0) {
+        this->slots = offer.slots;
+    }
+    if (HostFlow* flow = this->flows.find(key)) {
+        // The caller repeats its packet: the backend server answers again.
+        flow->balancer = offer.balancer;
+        flow->lastPacket = now;
+        actions.emplace_back(DeliverToBackendServer { datagram });
+        actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::Owned, {}, {} });
+        return;
+    }
+    const bool isHeld = std::any_of(
+        this->held.begin(), this->held.end(), [&](const auto& item) { return item.second.flow == key; });
+    if (isHeld) {
+        actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::Owned, {}, {} });
+        return;
+    }
+    if (this->leaving) {
+        actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::RefusedLeaving, {}, {} });
+        return;
+    }
+    const AgentLoad load = this->currentLoad(now);
+    const auto wait = expectedWait(load, 0);
+    if (wait > offer.waitLimit) {
+        actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::RefusedFull, wait, {} });
+        return;
+    }
+    actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::Owned, wait, {} });
+    if (load.opening + load.working >= this->deliveryLimit()) {
+        this->held.emplace(offer.priority, HeldFlow { key, offer, now, { datagram.begin(), datagram.end() } });
+        return;
+    }
+    this->flows.open(key, offer.balancer, now);
+    actions.emplace_back(DeliverToBackendServer { datagram });
+}
+
+void HostAdmission::unknownFlow(const Endpoint& balancer, bool search, const FlowPacket& packet,
+    std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions)
+{
+    const FlowKey key = packet.keyFromCaller();
+    if (now - this->startedAt > flowLifetime) {
+        if (!search) {
+            actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::NotFound, {}, {} });
+        }
+        return;
+    }
+    this->trials.insert_or_assign(key, Trial { balancer, now });
+    actions.emplace_back(DeliverToBackendServer { datagram });
+}
+
+void HostAdmission::callerPacket(const Endpoint& balancer, std::uint64_t flowService, bool search,
+    const FlowPacket& packet, std::span<const std::uint8_t> datagram, TimePoint now,
+    std::vector<AgentAction>& actions)
+{
+    const FlowKey key = packet.keyFromCaller();
+    if (flowService != this->service) {
+        actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::WrongService, {}, {} });
+        return;
+    }
+    HostFlow* flow = this->flows.find(key);
+    if (flow == nullptr) {
+        this->unknownFlow(balancer, search, packet, datagram, now, actions);
+        return;
+    }
+    if (flow->phase == HostFlowPhase::Opening && flow->hostAnswered && packet.acknowledges
+        && packet.acknowledgement != flow->hostSequence + 1) {
+        // The caller took another backend server's answer to its first packet.
+        this->flows.erase(key);
+        this->deliverHeld(now, actions);
+        return;
+    }
+    if (search || flow->balancer != balancer) {
+        flow->balancer = balancer;
+        actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::Owned, {}, {} });
+    }
+    flow->lastPacket = now;
+    if (!packet.payload.empty()) {
+        if (auto marks = this->readRequest(packet.payload); !marks.requestId.empty()) {
+            flow->requestId = std::move(marks.requestId);
+        }
+        this->flows.setPhase(*flow, HostFlowPhase::Working, now);
+    }
+    flow->callerFinished = flow->callerFinished || packet.finishes;
+    if (packet.resets || (flow->callerFinished && flow->hostFinished)) {
+        this->flows.setPhase(*flow, HostFlowPhase::Closed, now);
+    }
+    actions.emplace_back(DeliverToBackendServer { datagram });
+    this->deliverHeld(now, actions);
+}
+
+void HostAdmission::learnWork(std::chrono::microseconds work)
+{
+    this->meanWork = this->meanWork.count() == 0 ? (assumedWork + work) / 2
+                                                 : (this->meanWork * (meanWeight - 1) + work) / meanWeight;
+}
+
+void HostAdmission::answerBegins(HostFlow& flow, const FlowKey& key, const FlowPacket& packet, TimePoint now,
+    std::vector<AgentAction>& actions)
+{
+    const auto work = std::chrono::duration_cast<std::chrono::microseconds>(now - flow.phaseSince);
+    // With more requests than slots the time contains the wait at the backend server.
+    if (this->flows.working() <= this->slots) {
+        this->learnWork(work);
+    }
+    const RequestMarks marks = this->readAnswer(packet.payload);
+    actions.emplace_back(ReportAnswer { key, std::move(flow.requestId), marks.status,
+        std::chrono::duration_cast<std::chrono::microseconds>(now - flow.startedAt), work });
+    flow.requestId.clear();
+    this->flows.setPhase(flow, HostFlowPhase::Idle, now);
+}
+
+void HostAdmission::returnedPacket(const FlowPacket& packet, TimePoint now, std::vector<AgentAction>& actions)
+{
+    const FlowKey key = packet.keyFromCaller();
+    HostFlow* flow = this->flows.find(key);
+    if (flow == nullptr) {
+        this->trials.erase(key); // another agent's backend server holds the flow, or none
+        return;
+    }
+    const Endpoint balancer = flow->balancer;
+    this->flows.erase(key);
+    actions.emplace_back(SendVerdict { balancer, key,
+        packet.isFirst() ? FlowVerdict::RefusedByBackendServer : FlowVerdict::Lost, {}, {} });
+    this->deliverHeld(now, actions);
+}
+
+void HostAdmission::hostPacket(const FlowPacket& packet, std::span<const std::uint8_t> datagram, TimePoint now,
+    std::vector<AgentAction>& actions)
+{
+    if (packet.returned) {
+        this->returnedPacket(packet, now, actions);
+        return;
+    }
+    const FlowKey key = packet.keyFromBackendServer();
+    actions.emplace_back(DeliverToCaller { packet.destination, datagram });
+    HostFlow* flow = this->flows.find(key);
+    if (flow == nullptr) {
+        const auto trial = this->trials.find(key);
+        if (trial != this->trials.end()) {
+            // The flow is older than this agent.
+            HostFlow& found = this->flows.open(key, trial->second.balancer, now);
+            this->flows.setPhase(found, HostFlowPhase::Idle, now);
+            actions.emplace_back(SendVerdict { trial->second.balancer, key, FlowVerdict::Owned, {}, {} });
+            this->trials.erase(trial);
+        }
+        return;
+    }
+    flow->lastPacket = now;
+    if (packet.opens) {
+        flow->hostSequence = packet.sequence;
+        flow->hostAnswered = true;
+    }
+    if (flow->phase == HostFlowPhase::Working && !packet.payload.empty()) {
+        this->answerBegins(*flow, key, packet, now, actions);
+    }
+    flow->hostFinished = flow->hostFinished || packet.finishes;
+    if (packet.resets || (flow->callerFinished && flow->hostFinished)) {
+        this->flows.setPhase(*flow, HostFlowPhase::Closed, now);
+    }
+    this->deliverHeld(now, actions);
+}
+
+void HostAdmission::deliverHeld(TimePoint now, std::vector<AgentAction>& actions)
+{
+    while (!this->held.empty() && this->flows.opening() + this->flows.working() < this->deliveryLimit()) {
+        HeldFlow& next = this->delivered.emplace_back(std::move(this->held.begin()->second));
+        this->held.erase(this->held.begin());
+        this->flows.open(next.flow, next.offer.balancer, now);
+        actions.emplace_back(DeliverToBackendServer { next.datagram });
+    }
+}
+
+void HostAdmission::setService(std::uint64_t nextService, TimePoint, std::vector<AgentAction>& actions)
+{
+    this->service = nextService;
+    for (const auto& [priority, flow] : this->held) {
+        actions.emplace_back(SendVerdict { flow.offer.balancer, flow.flow, FlowVerdict::WrongService, {}, {} });
+    }
+    this->held.clear();
+}
+
+void HostAdmission::tick(TimePoint now, std::vector<AgentAction>& actions)
+{
+    this->delivered.clear();
+    for (auto item = this->held.begin(); item != this->held.end();) {
+        const HeldFlow& flow = item->second;
+        const auto waited = now - flow.since;
+        if (waited <= flow.offer.waitLimit + heldSlack) {
+            ++item;
+            continue;
+        }
+        actions.emplace_back(SendVerdict { flow.offer.balancer, flow.flow, FlowVerdict::RefusedFull, {},
+            std::chrono::duration_cast<std::chrono::microseconds>(waited) });
+        item = this->held.erase(item);
+    }
+    if (now < this->nextSweep) {
+        return;
+    }
+    this->nextSweep = now + sweepInterval;
+    this->flows.expire(idleLimit, now);
+    std::erase_if(this->trials, [&](const auto& item) { return now - item.second.since > trialLifetime; });
+    this->deliverHeld(now, actions);
+}
+
+}
--- /dev/null
+++ b/src/state/HostDirectory.cpp
@@ -0,0 +1,118 @@
+#include "state/HostDirectory.h"
+
+#include "support/Overloaded.h"
+
+namespace chicoryferry {
+
+namespace {
+
+bool isNewerLifetime(const KnownHost& left, const KnownHost& right)
+{
+    if (left.entry.startedAtMs != right.entry.startedAtMs) {
+        return left.entry.startedAtMs > right.entry.startedAtMs;
+    }
+    return left.learnedAt > right.learnedAt;
+}
+
+}
+
+HostDirectory::Effect HostDirectory::applyHost(const HostEntry& entry, TimePoint now)
+{
+    this->listed.insert(entry.id);
+    const auto [found, added] = this->known.try_emplace(entry.id);
+    KnownHost& host = found->second;
+    // An entry of an earlier lifetime under the same id arrives late.
+    if (!added && entry.startedAtMs < host.entry.startedAtMs) {
+        return Effect::RefusedOlder;
+    }
+    const bool changed = added || host.entry != entry || host.missingSince;
+    host.missingSince.reset();
+    if (changed) {
+        host.entry = entry;
+        host.learnedAt = now;
+    }
+    return changed ? Effect::HostsChanged : Effect::None;
+}
+
+HostDirectory::Effect HostDirectory::applyRemoval(const HostRemoved& removed, TimePoint now)
+{
+    const auto found = this->known.find(removed.id);
+    if (found == this->known.end()) {
+        return removed.malformed ? Effect::RefusedMalformed : Effect::None;
+    }
+    if (found->second.entry.draining) {
+        this->known.erase(found);
+        return Effect::HostsChanged;
+    }
+    // The entry of a living host can lapse, for example while the store is down; the host then writes it again.
+    if (!found->second.missingSince) {
+        found->second.missingSince = now;
+    }
+    return Effect::None;
+}
+
+HostDirectory::Effect HostDirectory::apply(const DirectoryChange& change, TimePoint now)
+{
+    return std::visit(Overloaded {
+                          [this](const RouteTableWritten& written) {
+                              if (written.table.version <= this->table.version) {
+                                  return written.table == this->table ? Effect::None : Effect::RefusedOlder;
+                              }
+                              this->table = written.table;
+                              return Effect::RoutesChanged;
+                          },
+                          [&](const HostWritten& written) { return this->applyHost(written.entry, now); },
+                          [&](const HostRemoved& removed) { return this->applyRemoval(removed, now); },
+                      },
+        change);
+}
+
+void HostDirectory::beginListing() { this->listed.clear(); }
+
+bool HostDirectory::endListing(TimePoint now)
+{
+    bool changed = false;
+    std::vector<std::string> missing;
+    for (const auto& [id, host] : this->known) {
+        if (!this->listed.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const std::string& id : missing) {
+        changed = this->applyRemoval({ id, false }, now) == Effect::HostsChanged || changed;
+    }
+    this->listed.clear();
+    return changed;
+}
+
+bool HostDirectory::expire(TimePoint now)
+{
+    return std::erase_if(this->known, [&](const auto& item) {
+        return item.second.missingSince && now - *item.second.missingSince >= returnGrace;
+    }) > 0;
+}
+
+const FlowRoute* HostDirectory::route(const Endpoint& address) const
+{
+    const auto found = this->table.routes.find(address);
+    return found == this->table.routes.end() ? nullptr : &found->second;
+}
+
+std::vector<const KnownHost*> HostDirectory::hosts() const
+{
+    std::map<Endpoint, const KnownHost*> byAddress;
+    for (const auto& [id, host] : this->known) {
+        const KnownHost*& newest = byAddress[host.entry.address];
+        if (newest == nullptr || isNewerLifetime(host, *newest)) {
+            newest = &host;
+        }
+    }
+    std::vector<const KnownHost*> hosts;
+    hosts.reserve(byAddress.size());
+    for (const auto& [address, host] : byAddress) {
+        hosts.push_back(host);
+    }
+    return hosts;
+}
+
+}
--- /dev/null
+++ b/src/state/HostFlows.cpp
@@ -0,0 +1,84 @@
+#include "state/HostFlows.h"
+
+#include <algorithm>
+
+namespace chicoryferry {
+
+namespace {
+
+// The caller gives a new flow up 1.4 s after its first packet.
+constexpr std::chrono::milliseconds openingLifetime { 1500 };
+
+// Covers repeated packets after both ends have finished.
+constexpr std::chrono::milliseconds closedLifetime { 2000 };
+
+}
+
+HostFlow& HostFlows::open(const FlowKey& key, const Endpoint& balancer, TimePoint now)
+{
+    this->erase(key);
+    HostFlow& flow = this->flows[key];
+    flow.balancer = balancer;
+    flow.startedAt = now;
+    flow.phaseSince = now;
+    flow.lastPacket = now;
+    ++this->counts[static_cast<std::size_t>(flow.phase)];
+    return flow;
+}
+
+HostFlow* HostFlows::find(const FlowKey& key)
+{
+    const auto found = this->flows.find(key);
+    return found == this->flows.end() ? nullptr : &found->second;
+}
+
+void HostFlows::erase(const FlowKey& key)
+{
+    const auto found = this->flows.find(key);
+    if (found != this->flows.end()) {
+        --this->counts[static_cast<std::size_t>(found->second.phase)];
+        this->flows.erase(found);
+    }
+}
+
+void HostFlows::setPhase(HostFlow& flow, HostFlowPhase phase, TimePoint now)
+{
+    if (flow.phase == phase) {
+        return;
+    }
+    --this->counts[static_cast<std::size_t>(flow.phase)];
+    ++this->counts[static_cast<std::size_t>(phase)];
+    flow.phase = phase;
+    flow.phaseSince = now;
+}
+
+std::uint32_t HostFlows::workingLongerThan(std::chrono::microseconds limit, TimePoint now) const
+{
+    if (this->working() == 0) {
+        return 0;
+    }
+    return static_cast<std::uint32_t>(std::count_if(this->flows.begin(), this->flows.end(), [&](const auto& item) {
+        return item.second.phase == HostFlowPhase::Working && now - item.second.phaseSince > limit;
+    }));
+}
+
+void HostFlows::expire(std::chrono::milliseconds idleLimit, TimePoint now)
+{
+    std::erase_if(this->flows, [&](const auto& item) {
+        const HostFlow& flow = item.second;
+        const auto idle = now - flow.lastPacket;
+        const bool ended = (flow.phase == HostFlowPhase::Closed && idle > closedLifetime)
+            || (flow.phase == HostFlowPhase::Opening && idle > openingLifetime) || idle > idleLimit;
+        if (ended) {
+            --this->counts[static_cast<std::size_t>(flow.phase)];
+        }
+        return ended;
+    });
+}
+
+std::size_t HostFlows::unfinished() const
+{
+    return this->flows.size() - this->counts[static_cast<std::size_t>(HostFlowPhase::Closed)];
+}
+
+}
--- /dev/null
+++ b/src/state/HostFlows.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "protocol/Endpoint.h"
+#include "protocol/FlowPacket.h"
+#include "state/FlowKey.h"
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+namespace chicoryferry {
+
+// How far a flow at the backend server is.
+enum class HostFlowPhase {
+    Opening, // delivered; the handshake is not known to be complete
+    Idle, // open, no request is in progress
+    Working, // the backend server has a request and has not begun its answer
+    Closed, // both ends have finished
+};
+
+struct HostFlow {
+    HostFlowPhase phase { HostFlowPhase::Opening };
+    Endpoint balancer; // the last one that forwarded a packet of the flow
+    std::uint32_t hostSequence { 0 }; // of the backend server's first packet
+    bool hostAnswered { false }; // the backend server has accepted the flow
+    bool callerFinished { false };
+    bool hostFinished { false };
+    std::chrono::steady_clock::time_point startedAt;
+    std::chrono::steady_clock::time_point phaseSince;
+    std::chrono::steady_clock::time_point lastPacket;
+    std::string requestId; // of the last request
+};
+
+// The flows that the agent's backend server holds, as seen from the packets that pass. The backend server is the owner;
+// a flow that is not in the table may still be there, for example after a restart of the agent.
+class HostFlows {
+public:
+    using TimePoint = std::chrono::steady_clock::time_point;
+
+    HostFlow& open(const FlowKey&, const Endpoint& balancer, TimePoint now);
+    HostFlow* find(const FlowKey&);
+    void erase(const FlowKey&);
+    void setPhase(HostFlow&, HostFlowPhase, TimePoint now);
+
+    // Counts the working flows that have been at it for longer than the limit.
+    std::uint32_t workingLongerThan(std::chrono::microseconds limit, TimePoint now) const;
+
+    // Forgets flows that ended, that never opened, and that were idle for longer than the limit.
+    void expire(std::chrono::milliseconds idleLimit, TimePoint now);
+
+    std::uint32_t opening() const { return this->counts[static_cast<std::size_t>(HostFlowPhase::Opening)]; }
+    std::uint32_t working() const { return this->counts[static_cast<std::size_t>(HostFlowPhase::Working)]; }
+    std::size_t size() const { return this->flows.size(); }
+    // Flows that a graceful shutdown waits for.
+    std::size_t unfinished() const;
+
+private:
+    std::unordered_map<FlowKey, HostFlow, FlowKeyHash> flows;
+    std::array<std::uint32_t, 4> counts {};
+};
+
+}
--- /dev/null
+++ b/src/support/EventLog.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace chicoryferry {
+
+// Writes one JSON object a line to a descriptor without ever blocking and with a bounded number of lines a second.
+// Refusals and lost dependencies have a budget of their own, so that routine lines cannot displace them; what is left
+// out is counted and reported by a line of its own. One thread.
+class EventLog {
+public:
+    enum class Importance {
+        Routine, // ordinary decisions
+        Notable, // refusals, changed beliefs, start and stop
+    };
+
+    struct Field {
+        std::string_view name;
+        std::variant<std::string_view, std::int64_t> value;
+    };
+
+    // descriptor: for example standard output; it is set to non-blocking.
+    EventLog(std::string_view instance, int descriptor);
+
+    void log(Importance, std::string_view event, std::initializer_list<Field> fields);
+
+    // Hands the buffered lines to the descriptor, as far as it takes them.
+    void flush();
+
+    std::uint64_t suppressed() const { return this->suppressedCount; }
+
+private:
+    bool takeBudget(Importance, std::chrono::steady_clock::time_point now);
+    void append(std::string_view event, std::initializer_list<Field> fields);
+
+    std::string instance; // as a JSON string
+    int descriptor;
+    std::string buffer;
+    std::chrono::steady_clock::time_point secondStart;
+    std::uint32_t routineLines { 0 };
+    std::uint32_t notableLines { 0 };
+    std::uint64_t suppressedCount { 0 };
+    std::uint64_t reportedSuppressed { 0 };
+};
+
+}
--- a/src/transport/AdminServer.cpp
+++ b/src/transport/AdminServer.cpp
@@ -46,11 +46,14 @@
 
 class AdminServer::Implementation {
 public:
-    Implementation(const Endpoint& listen, const Metrics& processMetrics, Source processSource)
+    Implementation(const std::vector<Endpoint>& listen, const Metrics& processMetrics, Source processSource)
         : metrics(processMetrics)
         , source(std::move(processSource))
     {
-        const std::string port = formatEndpoint(listen);
+        std::string port;
+        for (const Endpoint& endpoint : listen) {
+            port.append(port.empty() ? "" : ",").append(formatEndpoint(endpoint));
+        }
         const char* options[] = { "listening_ports", port.c_str(), "num_threads", workerThreads, "request_timeout_ms",
             requestTimeoutMs, nullptr };
         const mg_callbacks callbacks {};
@@ -62,10 +65,10 @@
         }
         mg_server_port bound {};
         mg_get_server_ports(this->server, 1, &bound);
-        this->boundAddress = { listen.address, static_cast<std::uint16_t>(bound.port) };
+        this->boundAddress = { listen.front().address, static_cast<std::uint16_t>(bound.port) };
         mg_set_request_handler(this->server, "/metrics$", handleMetrics, this);
         mg_set_request_handler(this->server, "/healthz$", handleHealth, this);
-        mg_set_request_handler(this->server, "/readyz$", handleReady, this);
+        mg_set_request_handler(this->server, (this->source.readyPath + "$").c_str(), handleReady, this);
         mg_set_request_handler(this->server, "/v1/status$", handleStatus, this);
     }
 
@@ -120,6 +123,11 @@
 };
 
 AdminServer::AdminServer(const Endpoint& listen, const Metrics& metrics, Source source)
+    : AdminServer(std::vector { listen }, metrics, std::move(source))
+{
+}
+
+AdminServer::AdminServer(const std::vector<Endpoint>& listen, const Metrics& metrics, Source source)
     : implementation(std::make_unique<Implementation>(listen, metrics, std::move(source)))
 {
 }
--- a/src/transport/AdminServer.h
+++ b/src/transport/AdminServer.h
@@ -5,22 +5,27 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace chicoryferry {
 
 class Metrics;
 
-// Serves /metrics, /healthz, /readyz and /v1/status over HTTP (CivetWeb, its own threads).
+// Serves /metrics, /healthz, the readiness path and /v1/status over HTTP (CivetWeb, its own threads).
 class AdminServer {
 public:
     // What the endpoints ask the process; called on CivetWeb's threads.
     struct Source {
         std::function<bool()> ready;
         std::function<std::string()> statusJson;
+        std::string readyPath { "/readyz" };
     };
 
     // Binds the address (port 0: chosen by the kernel) and starts serving. Throws UserError when it cannot be bound.
     AdminServer(const Endpoint&, const Metrics&, Source);
+
+    // Serves on several addresses; address() is the first one.
+    AdminServer(const std::vector<Endpoint>&, const Metrics&, Source);
     ~AdminServer();
     AdminServer(const AdminServer&) = delete;
     AdminServer& operator=(const AdminServer&) = delete;
--- /dev/null
+++ b/src/transport/HttpExchange.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "protocol/Endpoint.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace chicoryferry {
+
+class EventLoop;
+
+// One GET over a connection of its own, without blocking. Ends the connection when it is destroyed; the owner limits
+// the time by destroying it.
+class HttpExchange {
+public:
+    struct Result {
+        int status { 0 }; // 0: no answer
+        std::string body;
+        std::string step; // of the failure, when there is no answer
+        std::string reason;
+    };
+
+    // onResult is called once from the loop, unless this object is destroyed before; it may destroy this object.
+    HttpExchange(EventLoop&, const Endpoint&, const std::string& target, std::size_t maximumBytes,
+        std::function<void(Result)> onResult);
+    ~HttpExchange();
+    HttpExchange(const HttpExchange&) = delete;
+    HttpExchange& operator=(const HttpExchange&) = delete;
+
+    // What the exchange is waiting for, for the message of a time-out: "connect" or "wait for answer".
+    const char* step() const;
+
+private:
+    class Parser;
+
+    void onEvents(std::uint32_t events);
+    void finishConnect();
+    void receive();
+    void end(Result);
+
+    EventLoop& loop;
+    int socketDescriptor { -1 };
+    bool connected { false };
+    std::string request;
+    std::unique_ptr<Parser> parser;
+    std::function<void(Result)> onResult;
+};
+
+}
--- a/src/transport/SignalWatch.cpp
+++ b/src/transport/SignalWatch.cpp
@@ -10,12 +10,13 @@
 
 namespace {
 
-sigset_t stopSignals()
+sigset_t watchedSignals()
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     return signals;
 }
 
@@ -24,7 +25,7 @@
 SignalWatch::SignalWatch()
     : signalDescriptor(-1)
 {
-    const sigset_t signals = stopSignals();
+    const sigset_t signals = watchedSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     // NOLINTNEXTLINE(performance-no-int-to-ptr): SIG_IGN is defined by the C library as a cast integer.
     std::signal(SIGPIPE, SIG_IGN);
@@ -34,14 +35,16 @@
 
 SignalWatch::~SignalWatch() { close(this->signalDescriptor); }
 
-bool SignalWatch::consume() const
+SignalWatch::Requests SignalWatch::consume() const
 {
     signalfd_siginfo information {};
-    bool any = false;
+    Requests requests;
     while (read(this->signalDescriptor, &information, sizeof(information)) == sizeof(information)) {
-        any = true;
+        const bool reload = information.ssi_signo == SIGHUP;
+        requests.reload = requests.reload || reload;
+        requests.stop = requests.stop || !reload;
     }
-    return any;
+    return requests;
 }
 
 }
--- a/src/transport/SignalWatch.h
+++ b/src/transport/SignalWatch.h
@@ -2,10 +2,16 @@
 
 namespace chicoryferry {
 
-// Turns SIGTERM and SIGINT into a readable descriptor. Construct it before any thread starts, because threads inherit
+// Turns SIGTERM, SIGINT (stop) and SIGHUP (reload) into a readable descriptor. Construct it before any thread starts, because threads inherit
 // the signal mask. SIGPIPE is ignored: writes report EPIPE instead.
 class SignalWatch {
 public:
+    // What has been asked for since the last consume().
+    struct Requests {
+        bool stop { false };
+        bool reload { false };
+    };
+
     // Throws InternalError when no descriptor can be had.
     SignalWatch();
     ~SignalWatch();
@@ -14,8 +20,8 @@
 
     int descriptor() const { return this->signalDescriptor; }
 
-    // Takes the pending signals. Returns true when there was one.
-    bool consume() const;
+    // Takes the pending signals.
+    Requests consume() const;
 
 private:
     int signalDescriptor;
--- a/src/transport/UdpSocket.cpp
+++ b/src/transport/UdpSocket.cpp
@@ -3,11 +3,11 @@
 #include "protocol/Envelope.h"
 #include "support/InternalError.h"
 #include "support/UserError.h"
+#include "transport/SocketAddress.h"
 
 #include <array>
 #include <cerrno>
 #include <cstring>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -18,17 +18,6 @@
 // Holds the packets that arrive during one scheduling delay at a few hundred thousand packets per second.
 constexpr int socketBufferBytes = 4 * 1024 * 1024;
 
-sockaddr_in toSocketAddress(const Endpoint& endpoint)
-{
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(endpoint.address);
-    address.sin_port = htons(endpoint.port);
-    return address;
-}
-
-Endpoint toEndpoint(const sockaddr_in& address) { return { ntohl(address.sin_addr.s_addr), ntohs(address.sin_port) }; }
-
 }
 
 // Fixed arrays for one batch in each direction.
