Do not let half-open flows hold slots; drop stale first packets after a pause

Ruled out: lost packets after the admission (the trace of one flow shows it held and refused by four agents in turn). Change: an opening flow whose caller does not go on within 50 ms stops counting; a balancer that did not run for 600 ms drops the first packets that wait; the wait limit of an offer shrinks by the time already spent.

--- a/src/app/AgentNode.cpp
+++ b/src/app/AgentNode.cpp
@@ -23,7 +23,7 @@
 // Bounds one call, so that timers and messages are served under load.
 constexpr int batchesPerCall = 8;
 
-// Held flows and old flows are looked at this often while there are held ones, and else.
+// Held and opening flows are looked at this often, and the others.
 constexpr milliseconds busyTick { 10 };
 constexpr milliseconds idleTick { 100 };
 
@@ -94,7 +94,7 @@
                            this->metrics.events("verdict_" + std::string(flowVerdictName(verdict.verdict)))
                                .Increment();
                            const AgentLoad load = this->admission.currentLoad(now);
-                           this->log.log(verdict.verdict == FlowVerdict::Owned ? EventLog::Importance::Routine
+                           this->log.log(verdict.verdict <= FlowVerdict::Owned ? EventLog::Importance::Routine
                                                                                : EventLog::Importance::Notable,
                                "flow_verdict",
                                { { "flow", formatFlow(verdict.flow) }, { "verdict", flowVerdictName(verdict.verdict) },
@@ -216,7 +216,7 @@
 void AgentNode::tick(TimePoint now)
 {
     if (now >= this->nextTick) {
-        this->nextTick = now + (this->admission.hasHeld() ? busyTick : idleTick);
+        this->nextTick = now + (this->admission.isBusy() ? busyTick : idleTick);
         this->admission.tick(now, this->actions);
         this->perform(now);
         std::erase_if(
@@ -224,7 +224,7 @@
         this->flowCount = this->admission.flowCount();
         this->reload.check(false, now);
     }
-    if (this->admission.hasHeld()) {
+    if (this->admission.isBusy()) {
         this->nextTick = std::min(this->nextTick, now + busyTick);
     }
     this->nextReports = now + idleTick;
--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -3,6 +3,7 @@
 #include "platform/PacketFormat.h"
 #include "platform/Readiness.h"
 #include "platform/SettingsFile.h"
+#include "support/BootClock.h"
 #include "support/Overloaded.h"
 #include "transport/AdminServer.h"
 
@@ -34,6 +35,10 @@
 // Before the platform ends the process by force.
 constexpr milliseconds stopMargin { 700 };
 
+// The loop turns at least every 250 ms; a longer gap means that the process did not run. Callers have repeated or given
+// up the first packets that wait since then.
+constexpr milliseconds longestGap { 600 };
+
 std::uint64_t drawNumber()
 {
     std::random_device device;
@@ -130,6 +135,7 @@
     for (int batch = 0; batch < batchesPerCall; ++batch) {
         const auto datagrams = this->packetSocket.receive();
         if (datagrams.empty()) {
+            this->discardingStale = false;
             return;
         }
         const auto now = std::chrono::steady_clock::now();
@@ -140,6 +146,10 @@
                 this->metrics.drops("steer flow", "malformed").Increment();
                 continue;
             }
+            if (this->discardingStale && packet->isFirst()) {
+                this->metrics.drops("steer flow", "stale_after_pause").Increment();
+                continue;
+            }
             this->steering.packet(*packet, datagram.bytes, now, this->actions);
             this->perform(now);
         }
@@ -153,7 +163,7 @@
     }
     for (const VerdictMessage& item : message.verdicts) {
         this->steering.verdict(agent, item.flow, item.verdict, now, this->actions);
-        if (item.verdict != FlowVerdict::Owned) {
+        if (item.verdict > FlowVerdict::Owned) {
             this->metrics.retries("steer flow", std::string(flowVerdictName(item.verdict))).Increment();
             this->log.log(EventLog::Importance::Notable, "flow_refused_by_agent",
                 { { "flow", formatFlow(item.flow) }, { "agent", formatEndpoint(agent) },
@@ -194,6 +204,18 @@
     this->peerSocket.flush();
 }
 
+void BalancerNode::noticePause(std::chrono::nanoseconds now)
+{
+    const auto gap = now - this->lastTurn;
+    if (this->lastTurn.count() != 0 && gap > longestGap) {
+        this->discardingStale = true;
+        this->metrics.events("paused").Increment();
+        this->log.log(EventLog::Importance::Notable, "paused",
+            { { "gap_ms", std::chrono::duration_cast<milliseconds>(gap).count() } });
+    }
+    this->lastTurn = now;
+}
+
 void BalancerNode::tick(TimePoint now)
 {
     this->reader.tick(now);
@@ -272,7 +294,9 @@
     });
     while (!this->isStopped(std::chrono::steady_clock::now())) {
         this->tick(std::chrono::steady_clock::now());
-        this->loop.runOnce(this->timeout(std::chrono::steady_clock::now()));
+        this->loop.wait(this->timeout(std::chrono::steady_clock::now()));
+        this->noticePause(timeSinceBoot());
+        this->loop.dispatch();
     }
     this->log.log(EventLog::Importance::Notable, "stopped", {});
     this->log.flush();
--- a/src/app/BalancerNode.h
+++ b/src/app/BalancerNode.h
@@ -40,6 +40,7 @@
     void perform(TimePoint now);
     void steer(const SteerPacket&);
     void reset(const ResetFlow&);
+    void noticePause(std::chrono::nanoseconds now);
     void tick(TimePoint now);
     void sendHellos(TimePoint now);
     void startStop(TimePoint now);
@@ -66,6 +67,8 @@
     TimePoint lastPacket;
     TimePoint stopSince;
     TimePoint nextExpiry;
+    std::chrono::nanoseconds lastTurn { 0 }; // of the clock that counts while the machine is suspended
+    bool discardingStale { false };
     bool stopping { false };
     std::atomic<bool> ready { false };
     std::atomic<std::uint64_t> configurationVersion { 0 };
--- a/src/app/SteeringMessages.cpp
+++ b/src/app/SteeringMessages.cpp
@@ -14,7 +14,8 @@
 // A report that claims more is not one of ours.
 constexpr std::uint32_t mostSlots = 1'000'000;
 
-constexpr std::array<std::pair<wire::FlowVerdict::Verdict, FlowVerdict>, 7> verdicts { {
+constexpr std::array<std::pair<wire::FlowVerdict::Verdict, FlowVerdict>, 8> verdicts { {
+    { wire::FlowVerdict::ADMITTED, FlowVerdict::Admitted },
     { wire::FlowVerdict::OWNED, FlowVerdict::Owned },
     { wire::FlowVerdict::REFUSED_FULL, FlowVerdict::RefusedFull },
     { wire::FlowVerdict::REFUSED_LEAVING, FlowVerdict::RefusedLeaving },
--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -94,8 +94,9 @@
         actions.emplace_back(ResetFlow { key, 0, "all_refused" });
         return false;
     }
-    const auto limit = waitLimit(*route, opening.copies);
-    if (choice->expectedWait > limit || opening.tried.size() >= mostAgentsTried) {
+    const auto spent = std::chrono::duration_cast<std::chrono::milliseconds>(now - opening.firstPacket);
+    const auto limit = waitLimit(*route, opening.copies) - (opening.copies == 0 ? spent : std::chrono::milliseconds(0));
+    if (limit.count() < 0 || choice->expectedWait > limit || opening.tried.size() >= mostAgentsTried) {
         actions.emplace_back(ResetFlow { key, 0, "no_slot_in_time" });
         return false;
     }
@@ -159,9 +160,13 @@
         flow.lastPacket = now;
         flow.lastAcknowledgement = packet.acknowledgement;
         flow.closing = flow.closing || packet.finishes || packet.resets;
-        flow.opening.reset();
-        const auto purpose = flow.owners.size() == 1 ? SteeringPurpose::KnownFlow : SteeringPurpose::Search;
-        for (const Endpoint& owner : flow.owners) {
+        // Several agents may have admitted the flow; only the one whose backend server the caller took answers.
+        const bool ambiguous = flow.opening && flow.opening->tried.size() > 1;
+        if (!ambiguous) {
+            flow.opening.reset();
+        }
+        const auto purpose = ambiguous ? SteeringPurpose::Search : SteeringPurpose::KnownFlow;
+        for (const Endpoint& owner : ambiguous ? flow.opening->tried : flow.owners) {
             actions.emplace_back(SteerPacket { owner, purpose, serviceHash(flow.service), {}, 0, 0, datagram });
         }
         return;
@@ -200,7 +205,7 @@
     }
 }
 
-void FlowSteering::owned(const Endpoint& agent, const FlowKey& key, TimePoint now)
+FlowSteering::Flow& FlowSteering::flowOf(const FlowKey& key, TimePoint now)
 {
     Flow& flow = this->flows[key];
     flow.lastPacket = now;
@@ -208,19 +213,24 @@
     if (flow.service.empty() && route != nullptr) {
         flow.service = route->service;
     }
+    return flow;
+}
+
+void FlowSteering::admitted(const Endpoint& agent, const FlowKey& key, TimePoint now)
+{
     const auto opening = this->openings.find(key);
-    if (opening == this->openings.end()) {
-        // While the flow may be at several agents, only the one that has seen the caller's next packet counts.
-        if (!flow.opening || flow.owners.empty()) {
-            flow.owners.assign(1, agent);
-        } else if (std::find(flow.owners.begin(), flow.owners.end(), agent) == flow.owners.end()) {
-            flow.owners.push_back(agent);
-        }
-        return;
+    const auto known = this->flows.find(key);
+    const bool open = known != this->flows.end() && !known->second.opening && !known->second.owners.empty();
+    if (open) {
+        return; // a late verdict on an earlier offer; the flow is open at another agent
     }
+    Flow& flow = this->flowOf(key, now);
     if (std::find(flow.owners.begin(), flow.owners.end(), agent) == flow.owners.end()) {
         flow.owners.push_back(agent);
     }
+    if (opening == this->openings.end()) {
+        return;
+    }
     const auto& tried = opening->second.tried;
     if (!opening->second.waiting && !tried.empty() && tried.back() == agent) {
         this->placement.answered(agent);
@@ -229,6 +239,13 @@
     this->openings.erase(opening);
 }
 
+void FlowSteering::owned(const Endpoint& agent, const FlowKey& key, TimePoint now)
+{
+    Flow& flow = this->flowOf(key, now);
+    flow.owners.assign(1, agent);
+    flow.opening.reset();
+}
+
 void FlowSteering::notOwned(const Endpoint& agent, const FlowKey& key, FlowVerdict verdict, TimePoint now,
     std::vector<SteeringAction>& actions)
 {
@@ -263,7 +280,9 @@
 void FlowSteering::verdict(const Endpoint& agent, const FlowKey& key, FlowVerdict verdict, TimePoint now,
     std::vector<SteeringAction>& actions)
 {
-    if (verdict == FlowVerdict::Owned) {
+    if (verdict == FlowVerdict::Admitted) {
+        this->admitted(agent, key, now);
+    } else if (verdict == FlowVerdict::Owned) {
         this->owned(agent, key, now);
     } else {
         this->notOwned(agent, key, verdict, now, actions);
--- a/src/coordination/FlowSteering.h
+++ b/src/coordination/FlowSteering.h
@@ -66,7 +66,7 @@
         TimePoint lastPacket;
         std::uint32_t lastAcknowledgement { 0 };
         bool closing { false };
-        std::optional<Opening> opening; // until the caller's next packet shows that the flow is open
+        std::optional<Opening> opening; // until an agent shows that the flow is open there
     };
 
     using Openings = std::unordered_map<FlowKey, Opening, FlowKeyHash>;
@@ -78,7 +78,9 @@
     // Returns whether the opening stays.
     bool place(const FlowKey&, Opening&, TimePoint now, std::vector<SteeringAction>& actions);
     void wait(Opening&, TimePoint now) const;
+    void admitted(const Endpoint& agent, const FlowKey&, TimePoint now);
     void owned(const Endpoint& agent, const FlowKey&, TimePoint now);
+    Flow& flowOf(const FlowKey&, TimePoint now);
     // The agent does not own the flow, or not any more.
     void notOwned(const Endpoint& agent, const FlowKey&, FlowVerdict, TimePoint now,
         std::vector<SteeringAction>& actions);
--- a/src/coordination/FlowVerdict.cpp
+++ b/src/coordination/FlowVerdict.cpp
@@ -6,7 +6,7 @@
 
 std::string_view flowVerdictName(FlowVerdict verdict)
 {
-    constexpr std::array<std::string_view, 7> names { "owned", "refused_full", "refused_leaving",
+    constexpr std::array<std::string_view, 8> names { "admitted", "owned", "refused_full", "refused_leaving",
         "refused_by_backend_server", "wrong_service", "not_found", "lost" };
     return names[static_cast<std::size_t>(verdict)];
 }
--- a/src/coordination/FlowVerdict.h
+++ b/src/coordination/FlowVerdict.h
@@ -6,7 +6,8 @@
 
 // What an agent decided about one flow.
 enum class FlowVerdict {
-    Owned, // delivered, or held until a slot is free
+    Admitted, // new flow: delivered, or held until a slot is free; another agent may have admitted it too
+    Owned, // the flow is open at this agent
     RefusedFull,
     RefusedLeaving,
     RefusedByBackendServer,
--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -27,6 +27,10 @@
 
 constexpr std::chrono::milliseconds sweepInterval { 500 };
 
+// The caller's next packet follows the first one after two ways to the caller, at most 8 ms, and the delays of the
+// processes. A flow whose caller has gone on elsewhere must not keep a slot free for longer.
+constexpr std::chrono::milliseconds openingTimeout { 50 };
+
 // The prediction of the wait may be short by one request.
 constexpr std::chrono::milliseconds heldSlack { 25 };
 
@@ -85,16 +89,19 @@
     }
     if (HostFlow* flow = this->flows.find(key)) {
         // The caller repeats its packet: the backend server answers again.
+        if (flow->phase == HostFlowPhase::Stalled) {
+            this->flows.setPhase(*flow, HostFlowPhase::Opening, now);
+        }
         flow->balancer = offer.balancer;
         flow->lastPacket = now;
         actions.emplace_back(DeliverToBackendServer { datagram });
-        actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::Owned, {}, {} });
+        actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::Admitted, {}, {} });
         return;
     }
     const bool isHeld = std::any_of(
         this->held.begin(), this->held.end(), [&](const auto& item) { return item.second.flow == key; });
     if (isHeld) {
-        actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::Owned, {}, {} });
+        actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::Admitted, {}, {} });
         return;
     }
     if (this->leaving) {
@@ -107,7 +114,7 @@
         actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::RefusedFull, wait, {} });
         return;
     }
-    actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::Owned, wait, {} });
+    actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::Admitted, wait, {} });
     if (load.opening + load.working >= this->deliveryLimit()) {
         this->held.emplace(offer.priority, HeldFlow { key, offer, now, { datagram.begin(), datagram.end() } });
         return;
@@ -144,10 +151,14 @@
         this->unknownFlow(balancer, search, packet, datagram, now, actions);
         return;
     }
-    if (flow->phase == HostFlowPhase::Opening && flow->hostAnswered && packet.acknowledges
-        && packet.acknowledgement != flow->hostSequence + 1) {
+    const bool unopened = flow->phase == HostFlowPhase::Opening || flow->phase == HostFlowPhase::Stalled;
+    if (unopened && packet.acknowledges
+        && (!flow->hostAnswered || packet.acknowledgement != flow->hostSequence + 1)) {
         // The caller took another backend server's answer to its first packet.
         this->flows.erase(key);
+        if (!search) {
+            actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::NotFound, {}, {} });
+        }
         this->deliverHeld(now, actions);
         return;
     }
@@ -264,6 +275,8 @@
 void HostAdmission::tick(TimePoint now, std::vector<AgentAction>& actions)
 {
     this->delivered.clear();
+    this->flows.stall(openingTimeout, now);
+    this->deliverHeld(now, actions);
     for (auto item = this->held.begin(); item != this->held.end();) {
         const HeldFlow& flow = item->second;
         const auto waited = now - flow.since;
@@ -281,7 +294,6 @@
     this->nextSweep = now + sweepInterval;
     this->flows.expire(idleLimit, now);
     std::erase_if(this->trials, [&](const auto& item) { return now - item.second.since > trialLifetime; });
-    this->deliverHeld(now, actions);
 }
 
 }
--- a/src/coordination/HostAdmission.h
+++ b/src/coordination/HostAdmission.h
@@ -66,7 +66,8 @@
     // Changes with the load; equal values need no new report.
     std::uint32_t occupied() const;
 
-    bool hasHeld() const { return !this->held.empty(); }
+    // Whether tick() has something to do soon.
+    bool isBusy() const { return !this->held.empty() || this->flows.opening() > 0; }
     std::size_t unfinished() const { return this->flows.unfinished() + this->held.size(); }
     std::size_t flowCount() const { return this->flows.size(); }
 
--- a/src/state/HostFlows.cpp
+++ b/src/state/HostFlows.cpp
@@ -12,6 +12,11 @@
 // Covers repeated packets after both ends have finished.
 constexpr std::chrono::milliseconds closedLifetime { 2000 };
 
+bool isUnopened(const HostFlow& flow)
+{
+    return flow.phase == HostFlowPhase::Opening || flow.phase == HostFlowPhase::Stalled;
+}
+
 }
 
 HostFlow& HostFlows::open(const FlowKey& key, const Endpoint& balancer, TimePoint now)
@@ -62,13 +67,25 @@
     }));
 }
 
+void HostFlows::stall(std::chrono::milliseconds limit, TimePoint now)
+{
+    if (this->opening() == 0) {
+        return;
+    }
+    for (auto& [key, flow] : this->flows) {
+        if (flow.phase == HostFlowPhase::Opening && now - flow.phaseSince > limit) {
+            this->setPhase(flow, HostFlowPhase::Stalled, now);
+        }
+    }
+}
+
 void HostFlows::expire(std::chrono::milliseconds idleLimit, TimePoint now)
 {
     std::erase_if(this->flows, [&](const auto& item) {
         const HostFlow& flow = item.second;
         const auto idle = now - flow.lastPacket;
         const bool ended = (flow.phase == HostFlowPhase::Closed && idle > closedLifetime)
-            || (flow.phase == HostFlowPhase::Opening && idle > openingLifetime) || idle > idleLimit;
+            || (isUnopened(flow) && idle > openingLifetime) || idle > idleLimit;
         if (ended) {
             --this->counts[static_cast<std::size_t>(flow.phase)];
         }
--- a/src/state/HostFlows.h
+++ b/src/state/HostFlows.h
@@ -15,7 +15,8 @@
 
 // How far a flow at the backend server is.
 enum class HostFlowPhase {
-    Opening, // delivered; the handshake is not known to be complete
+    Opening, // delivered; the caller's next packet is expected
+    Stalled, // delivered; the caller's next packet is overdue, so that no request is expected
     Idle, // open, no request is in progress
     Working, // the backend server has a request and has not begun its answer
     Closed, // both ends have finished
@@ -48,6 +49,9 @@
     // Counts the working flows that have been at it for longer than the limit.
     std::uint32_t workingLongerThan(std::chrono::microseconds limit, TimePoint now) const;
 
+    // Marks opening flows as stalled whose caller has not gone on within the limit after the backend server's answer.
+    void stall(std::chrono::milliseconds limit, TimePoint now);
+
     // Forgets flows that ended, that never opened, and that were idle for longer than the limit.
     void expire(std::chrono::milliseconds idleLimit, TimePoint now);
 
@@ -59,7 +63,7 @@
 
 private:
     std::unordered_map<FlowKey, HostFlow, FlowKeyHash> flows;
-    std::array<std::uint32_t, 4> counts {};
+    std::array<std::uint32_t, 5> counts {};
 };
 
 }
--- a/src/transport/EventLoop.cpp
+++ b/src/transport/EventLoop.cpp
@@ -2,8 +2,6 @@
 
 #include "support/InternalError.h"
 
-#include <array>
-#include <sys/epoll.h>
 #include <unistd.h>
 
 namespace chicoryferry {
@@ -43,11 +41,20 @@
 
 void EventLoop::runOnce(std::chrono::milliseconds timeout)
 {
-    std::array<epoll_event, 128> events {};
-    const int count = epoll_wait(
-        this->epollDescriptor, events.data(), static_cast<int>(events.size()), static_cast<int>(timeout.count()));
-    for (int index = 0; index < count; ++index) {
-        const epoll_event& event = events[static_cast<std::size_t>(index)];
+    this->wait(timeout);
+    this->dispatch();
+}
+
+void EventLoop::wait(std::chrono::milliseconds timeout)
+{
+    this->pendingCount = epoll_wait(this->epollDescriptor, this->pending.data(),
+        static_cast<int>(this->pending.size()), static_cast<int>(timeout.count()));
+}
+
+void EventLoop::dispatch()
+{
+    for (int index = 0; index < this->pendingCount; ++index) {
+        const epoll_event& event = this->pending[static_cast<std::size_t>(index)];
         const auto found = this->handlers.find(event.data.fd);
         if (found == this->handlers.end()) {
             continue;
@@ -56,6 +63,7 @@
         const std::shared_ptr<Handler> handler = found->second;
         (*handler)(event.events);
     }
+    this->pendingCount = 0;
 }
 
 }
--- a/src/transport/EventLoop.h
+++ b/src/transport/EventLoop.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <array>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <sys/epoll.h>
 #include <unordered_map>
 
 namespace chicoryferry {
@@ -29,8 +32,16 @@
     // Waits at most the timeout for events and calls the handlers of those that are pending.
     void runOnce(std::chrono::milliseconds timeout);
 
+    // The two halves of runOnce().
+    void wait(std::chrono::milliseconds timeout);
+    void dispatch();
+
 private:
+    static constexpr std::size_t eventsPerTurn = 128;
+
     int epollDescriptor;
+    std::array<epoll_event, eventsPerTurn> pending {};
+    int pendingCount { 0 };
     std::unordered_map<int, std::shared_ptr<Handler>> handlers;
 };
 
