--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -187,19 +187,27 @@
                                                  : (this->meanWork * (meanWeight - 1) + work) / meanWeight;
 }
 
-void HostAdmission::answerBegins(HostFlow& flow, const FlowKey& key, const FlowPacket& packet, TimePoint now,
-    std::vector<AgentAction>& actions)
+void HostAdmission::answerBegins(HostFlow& flow, TimePoint now)
 {
-    const auto work = std::chrono::duration_cast<std::chrono::microseconds>(now - flow.phaseSince);
+    flow.work = std::chrono::duration_cast<std::chrono::microseconds>(now - flow.phaseSince);
     // With more requests than slots the time contains the wait at the backend server.
     if (this->flows.working() <= this->slots) {
-        this->learnWork(work);
+        this->learnWork(flow.work);
     }
+    this->flows.setPhase(flow, HostFlowPhase::Idle, now);
+}
+
+void HostAdmission::reportAnswer(
+    HostFlow& flow, const FlowKey& key, const FlowPacket& packet, TimePoint now, std::vector<AgentAction>& actions)
+{
+    // The packets of an answer arrive in any order; the first bytes tell its status.
     const RequestMarks marks = this->readAnswer(packet.payload);
+    if (marks.status == 0) {
+        return;
+    }
     actions.emplace_back(ReportAnswer { key, std::move(flow.requestId), marks.status,
-        std::chrono::duration_cast<std::chrono::microseconds>(now - flow.startedAt), work });
+        std::chrono::duration_cast<std::chrono::microseconds>(now - flow.startedAt), flow.work });
     flow.requestId.clear();
-    this->flows.setPhase(flow, HostFlowPhase::Idle, now);
 }
 
 void HostAdmission::returnedPacket(const FlowPacket& packet, TimePoint now, std::vector<AgentAction>& actions)
@@ -244,7 +252,10 @@
         flow->hostAnswered = true;
     }
     if (flow->phase == HostFlowPhase::Working && !packet.payload.empty()) {
-        this->answerBegins(*flow, key, packet, now, actions);
+        this->answerBegins(*flow, now);
+    }
+    if (!flow->requestId.empty() && !packet.payload.empty()) {
+        this->reportAnswer(*flow, key, packet, now, actions);
     }
     flow->hostFinished = flow->hostFinished || packet.finishes;
     if (packet.resets || (flow->callerFinished && flow->hostFinished)) {
--- a/src/coordination/HostAdmission.h
+++ b/src/coordination/HostAdmission.h
@@ -90,7 +90,8 @@
     void returnedPacket(const FlowPacket&, TimePoint now, std::vector<AgentAction>& actions);
     void unknownFlow(const Endpoint& balancer, bool search, const FlowPacket&,
         std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions);
-    void answerBegins(HostFlow&, const FlowKey&, const FlowPacket&, TimePoint now, std::vector<AgentAction>& actions);
+    void answerBegins(HostFlow&, TimePoint now);
+    void reportAnswer(HostFlow&, const FlowKey&, const FlowPacket&, TimePoint now, std::vector<AgentAction>& actions);
     void learnWork(std::chrono::microseconds work);
 
     std::uint64_t lifetime;
--- a/src/state/HostFlows.h
+++ b/src/state/HostFlows.h
@@ -32,7 +32,8 @@
     std::chrono::steady_clock::time_point startedAt;
     std::chrono::steady_clock::time_point phaseSince;
     std::chrono::steady_clock::time_point lastPacket;
-    std::string requestId; // of the last request
+    std::chrono::microseconds work { 0 }; // of the last request, until its answer began
+    std::string requestId; // of the request whose answer has not been seen
 };
 
 // The flows that the agent's backend server holds, as seen from the packets that pass. The backend server is the owner;
