Let late flows wait for the slots that flows in time leave over

Cause: after all machines had lost power, callers spent their three tries within milliseconds on resets, while slots were free again 0.4 s later. Under a lasting overload an early reset is still right. Change: a flow that cannot meet its target waits behind those that can, if a slot is expected within 0.6 of the time that its caller has left; the expectation divides by what the demand of flows in time leaves over. Ruled out: the start of the processes (a balancer is ready 11 to 40 ms after its start).

--- a/src/app/AgentNode.cpp
+++ b/src/app/AgentNode.cpp
@@ -100,7 +100,8 @@
                                { { "flow", formatFlow(verdict.flow) }, { "verdict", flowVerdictName(verdict.verdict) },
                                    { "expected_wait_us", verdict.expectedWait.count() },
                                    { "held_us", verdict.held.count() }, { "working", load.working },
-                                   { "opening", load.opening }, { "held", load.held }, { "slots", load.slots } });
+                                   { "opening", load.opening }, { "held", load.held }, { "held_late", load.heldLate },
+                                   { "demand_percent", load.demandPercent }, { "slots", load.slots } });
                        },
                        [this](const ReportAnswer& answer) {
                            this->metrics.duration("request").Observe(
@@ -127,7 +128,7 @@
         return;
     }
     if (steered.purpose == SteeringPurpose::NewFlow && packet->isFirst()) {
-        this->admission.newFlow({ balancer, steered.waitLimit, steered.priority, steered.slots }, steered.service,
+        this->admission.newFlow({ balancer, steered.waitLimit, steered.priority, steered.urgency, steered.slots }, steered.service,
             *packet, steered.datagram, now, this->actions);
     } else {
         this->admission.callerPacket(balancer, steered.service, steered.purpose == SteeringPurpose::Search, *packet,
--- a/src/app/SteeringMessages.cpp
+++ b/src/app/SteeringMessages.cpp
@@ -57,7 +57,7 @@
     }
     ReportMessage message;
     message.load = { report.lifetime(), report.sequence(), report.service(), report.slots(), report.working(),
-        report.opening(), report.held(), report.long_running(), std::chrono::microseconds(report.mean_work_us()),
+        report.opening(), report.held(), report.held_late(), report.demand_percent(), report.long_running(), std::chrono::microseconds(report.mean_work_us()),
         report.leaving() };
     for (const wire::FlowVerdict& item : report.verdicts()) {
         for (const auto& [wireVerdict, verdict] : verdicts) {
@@ -89,6 +89,7 @@
     head.set_service(packet.service);
     head.set_wait_limit_ms(static_cast<std::uint32_t>(packet.waitLimit.count()));
     head.set_priority(packet.priority);
+    head.set_late(packet.urgency == FlowUrgency::Late);
     head.set_slots(packet.slots);
     return encodeHeaderFrame(*this->header, output);
 }
@@ -112,6 +113,8 @@
     report.set_working(load.working);
     report.set_opening(load.opening);
     report.set_held(load.held);
+    report.set_held_late(load.heldLate);
+    report.set_demand_percent(load.demandPercent);
     report.set_long_running(load.longRunning);
     report.set_mean_work_us(static_cast<std::uint32_t>(load.meanWork.count()));
     report.set_leaving(load.leaving);
@@ -145,7 +148,8 @@
     if (this->header->has_packet()) {
         const wire::SteeredPacket& head = this->header->packet();
         return SteerPacket { {}, fromWire(head.purpose()), head.service(),
-            std::chrono::milliseconds(head.wait_limit_ms()), head.priority(), head.slots(), *payload };
+            std::chrono::milliseconds(head.wait_limit_ms()), head.priority(),
+            head.late() ? FlowUrgency::Late : FlowUrgency::InTime, head.slots(), *payload };
     }
     if (this->header->has_report()) {
         auto report = readReport(this->header->report());
--- a/src/coordination/AgentLoad.cpp
+++ b/src/coordination/AgentLoad.cpp
@@ -10,13 +10,14 @@
 // that is left.
 constexpr int meansLeftOfLongRequest = 3;
 
-}
+// With less than this left over, a late flow is as good as never served.
+constexpr std::uint32_t leastPercentLeft = 5;
+constexpr std::uint32_t allPercent = 100;
 
-std::chrono::microseconds expectedWait(const AgentLoad& load, std::uint32_t more)
+std::chrono::microseconds waitBehind(const AgentLoad& load, std::uint32_t occupied)
 {
     const auto work = load.meanWork.count() > 0 ? load.meanWork : assumedWork;
     const std::uint32_t slots = std::max(1U, load.slots);
-    const std::uint32_t occupied = load.occupied() + more;
     if (occupied < slots) {
         return std::chrono::microseconds(0);
     }
@@ -30,3 +31,14 @@
 }
 
 }
+
+std::chrono::microseconds expectedWait(const AgentLoad& load, std::uint32_t more, FlowUrgency urgency)
+{
+    if (urgency == FlowUrgency::InTime) {
+        return waitBehind(load, load.occupied() + more);
+    }
+    const std::uint32_t left = std::max(leastPercentLeft, allPercent - std::min(allPercent, load.demandPercent));
+    return waitBehind(load, load.occupied() + load.heldLate + more) * allPercent / left;
+}
+
+}
--- a/src/coordination/FlowPlacement.cpp
+++ b/src/coordination/FlowPlacement.cpp
@@ -77,12 +77,13 @@
     return true;
 }
 
-double FlowPlacement::cost(const State& state, TimePoint now, std::chrono::microseconds& wait)
+double FlowPlacement::cost(
+    const State& state, FlowUrgency urgency, TimePoint now, std::chrono::microseconds& wait)
 {
     const bool known = state.reported && now - state.reportedAt < reportLifetime;
     AgentLoad load = known ? state.load : AgentLoad {};
     load.slots = std::max(1U, state.host.slots);
-    wait = expectedWait(load, state.unanswered);
+    wait = expectedWait(load, state.unanswered, urgency);
     double total = milliseconds(wait) + occupancyCostMs * (load.occupied() + state.unanswered) / load.slots;
     if (state.learnedAt + state.host.coldRemaining > now) {
         total += coldSlowdown * milliseconds(load.meanWork.count() > 0 ? load.meanWork : assumedWork);
@@ -100,7 +101,7 @@
 }
 
 std::optional<PlacementChoice> FlowPlacement::choose(
-    const std::string& service, std::span<const Endpoint> tried, TimePoint now)
+    const std::string& service, FlowUrgency urgency, std::span<const Endpoint> tried, TimePoint now)
 {
     const auto agents = this->byService.find(service);
     if (agents == this->byService.end()) {
@@ -115,7 +116,7 @@
             continue;
         }
         std::chrono::microseconds wait {};
-        const double agentCost = this->cost(state, now, wait);
+        const double agentCost = this->cost(state, urgency, now, wait);
         if (!best || agentCost < bestCost) {
             best = PlacementChoice { address, wait,
                 std::chrono::duration_cast<std::chrono::milliseconds>(now - state.reportedAt), state.host.slots };
--- a/src/coordination/FlowPlacement.h
+++ b/src/coordination/FlowPlacement.h
@@ -48,7 +48,7 @@
 
     // Nothing when each usable agent of the service is among those tried.
     std::optional<PlacementChoice> choose(
-        const std::string& service, std::span<const Endpoint> tried, TimePoint now);
+        const std::string& service, FlowUrgency, std::span<const Endpoint> tried, TimePoint now);
 
     // A flow was sent to the agent.
     void sent(const Endpoint& agent);
@@ -78,7 +78,7 @@
         std::uint32_t unanswered { 0 }; // flows sent without a verdict
     };
 
-    double cost(const State&, TimePoint now, std::chrono::microseconds& wait);
+    double cost(const State&, FlowUrgency, TimePoint now, std::chrono::microseconds& wait);
 
     std::string availabilityZone;
     std::map<Endpoint, State> states;
--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -26,37 +26,41 @@
 // The part of the target latency that may be spent waiting for a slot; the rest is for the run and the way.
 constexpr double waitShareOfTarget = 0.6;
 
-// A flow whose caller repeated its first packet is late already, so that it yields to flows that can be in time. It may
-// wait for this part of the time that is left.
-constexpr double waitShareOfRest = 0.25;
-constexpr std::uint32_t latePriority = 100;
+// A flow that cannot be in time any more is worth serving late, if a slot is expected free within this part of the time
+// that its caller still waits.
+constexpr double waitShareOfRest = 0.6;
 
 // The caller repeats its first packet after 200 ms and after 600 ms.
 constexpr std::chrono::milliseconds firstCopyAge { 200 };
 constexpr std::chrono::milliseconds secondCopyAge { 600 };
 
-// Covers repeated packets after both ends have finished.
-constexpr std::chrono::milliseconds closedFlowLifetime { 2000 };
-
-constexpr std::chrono::milliseconds sweepInterval { 1000 };
+std::chrono::milliseconds scale(std::chrono::milliseconds duration, double share)
+{
+    return std::chrono::milliseconds(static_cast<std::int64_t>(share * static_cast<double>(duration.count())));
+}
 
-std::chrono::milliseconds waitLimit(const FlowRoute& route, std::uint32_t copies)
+std::chrono::milliseconds ageOfCopy(std::uint32_t copies)
 {
     if (copies == 0) {
-        return std::chrono::milliseconds(
-            static_cast<std::int64_t>(waitShareOfTarget * static_cast<double>(route.targetLatency.count())));
+        return std::chrono::milliseconds(0);
     }
-    const auto age = copies == 1 ? firstCopyAge : secondCopyAge;
-    const auto rest = std::max(route.timeout - age, std::chrono::milliseconds(0));
-    return std::chrono::milliseconds(static_cast<std::int64_t>(waitShareOfRest * static_cast<double>(rest.count())));
+    return copies == 1 ? firstCopyAge : secondCopyAge;
 }
 
-// Flows with a longer target latency are late later.
-bool isLate(const FlowRoute& route, std::uint32_t copies)
+// How long the flow may wait for a slot, given how long its caller has waited.
+std::chrono::milliseconds waitLimit(const FlowRoute& route, FlowUrgency urgency, std::chrono::milliseconds age)
 {
-    return copies > 0 && route.targetLatency <= (copies == 1 ? firstCopyAge : secondCopyAge);
+    if (urgency == FlowUrgency::InTime) {
+        return scale(route.targetLatency, waitShareOfTarget) - age;
+    }
+    return scale(route.timeout - age, waitShareOfRest);
 }
 
+// Covers repeated packets after both ends have finished.
+constexpr std::chrono::milliseconds closedFlowLifetime { 2000 };
+
+constexpr std::chrono::milliseconds sweepInterval { 1000 };
+
 }
 
 FlowSteering::FlowSteering(const HostDirectory& hostDirectory, FlowPlacement& flowPlacement)
@@ -85,7 +89,16 @@
         actions.emplace_back(ResetFlow { key, 0, "no_route" });
         return false;
     }
-    const auto choice = this->placement.choose(route->service, opening.tried, now);
+    const auto age = ageOfCopy(opening.copies)
+        + std::chrono::duration_cast<std::chrono::milliseconds>(now - opening.firstPacket);
+    auto urgency = FlowUrgency::InTime;
+    auto limit = waitLimit(*route, urgency, age);
+    auto choice = this->placement.choose(route->service, urgency, opening.tried, now);
+    if (choice && (limit.count() < 0 || choice->expectedWait > limit)) {
+        urgency = FlowUrgency::Late;
+        limit = waitLimit(*route, urgency, age);
+        choice = this->placement.choose(route->service, urgency, opening.tried, now);
+    }
     if (!choice) {
         if (opening.tried.empty()) {
             this->wait(opening, now);
@@ -94,8 +107,6 @@
         actions.emplace_back(ResetFlow { key, 0, "all_refused" });
         return false;
     }
-    const auto spent = std::chrono::duration_cast<std::chrono::milliseconds>(now - opening.firstPacket);
-    const auto limit = waitLimit(*route, opening.copies) - (opening.copies == 0 ? spent : std::chrono::milliseconds(0));
     if (limit.count() < 0 || choice->expectedWait > limit || opening.tried.size() >= mostAgentsTried) {
         actions.emplace_back(ResetFlow { key, 0, "no_slot_in_time" });
         return false;
@@ -104,9 +115,8 @@
     opening.tried.push_back(choice->agent);
     opening.deadline = now + verdictTimeout;
     this->placement.sent(choice->agent);
-    const std::uint32_t priority = route->priority + (isLate(*route, opening.copies) ? latePriority : 0);
     actions.emplace_back(SteerPacket { choice->agent, SteeringPurpose::NewFlow, serviceHash(route->service), limit,
-        priority, choice->slots, opening.datagram });
+        route->priority, urgency, choice->slots, opening.datagram });
     return true;
 }
 
@@ -120,9 +130,11 @@
         // The answer of the backend server was lost, or the flow still waits for a slot: its owner sees the copy.
         if (flow->second.owners.size() == 1 && !this->placement.isSilent(flow->second.owners.front())) {
             const FlowRoute* route = this->directory.route(key.service);
-            const auto limit = route == nullptr ? std::chrono::milliseconds(0) : waitLimit(*route, 1);
+            const auto limit = route == nullptr
+                ? std::chrono::milliseconds(0)
+                : waitLimit(*route, FlowUrgency::Late, ageOfCopy(packet.acknowledgement));
             actions.emplace_back(SteerPacket { flow->second.owners.front(), SteeringPurpose::NewFlow,
-                serviceHash(flow->second.service), limit, latePriority, 0, datagram });
+                serviceHash(flow->second.service), limit, 0, FlowUrgency::Late, 0, datagram });
             return;
         }
         this->flows.erase(flow);
@@ -167,7 +179,7 @@
         }
         const auto purpose = ambiguous ? SteeringPurpose::Search : SteeringPurpose::KnownFlow;
         for (const Endpoint& owner : ambiguous ? flow.opening->tried : flow.owners) {
-            actions.emplace_back(SteerPacket { owner, purpose, serviceHash(flow.service), {}, 0, 0, datagram });
+            actions.emplace_back(SteerPacket { owner, purpose, serviceHash(flow.service), {}, 0, FlowUrgency::InTime, 0, datagram });
         }
         return;
     }
@@ -184,7 +196,7 @@
     flow.lastAcknowledgement = packet.acknowledgement;
     const std::uint64_t service = serviceHash(route->service);
     for (const Endpoint& agent : this->placement.agentsOf(route->service)) {
-        actions.emplace_back(SteerPacket { agent, SteeringPurpose::Search, service, {}, 0, 0, datagram });
+        actions.emplace_back(SteerPacket { agent, SteeringPurpose::Search, service, {}, 0, FlowUrgency::InTime, 0, datagram });
     }
 }
 
--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -1,6 +1,7 @@
 #include "coordination/HostAdmission.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace chicoryferry {
 
@@ -27,6 +28,14 @@
 
 constexpr std::chrono::milliseconds sweepInterval { 500 };
 
+// Demand is averaged over about this time: long against the time between flows at one agent (some 20 ms), short against
+// a change of the load (seconds).
+constexpr std::chrono::milliseconds demandWindow { 300 };
+constexpr double allPercent = 100;
+constexpr double mostDemandPercent = 1000;
+
+double seconds(std::chrono::nanoseconds duration) { return std::chrono::duration<double>(duration).count(); }
+
 // The caller's next packet follows the first one after two ways to the caller, at most 8 ms, and the delays of the
 // processes. A flow whose caller has gone on elsewhere must not keep a slot free for longer.
 constexpr std::chrono::milliseconds openingTimeout { 50 };
@@ -46,6 +55,17 @@
 {
 }
 
+std::uint32_t HostAdmission::heldLate() const
+{
+    const auto firstLate = this->held.lower_bound({ FlowUrgency::Late, 0 });
+    return static_cast<std::uint32_t>(std::distance(firstLate, this->held.end()));
+}
+
+double HostAdmission::decayedDemand(TimePoint now) const
+{
+    return this->demand * std::exp(-seconds(now - this->demandAt) / seconds(demandWindow));
+}
+
 std::uint32_t HostAdmission::deliveryLimit() const { return this->slots * (1 + openedAheadPerSlot); }
 
 std::uint32_t HostAdmission::occupied() const
@@ -62,9 +82,13 @@
     load.slots = this->slots;
     load.working = this->flows.working();
     load.opening = this->flows.opening();
-    load.held = static_cast<std::uint32_t>(this->held.size());
+    load.heldLate = this->heldLate();
+    load.held = static_cast<std::uint32_t>(this->held.size()) - load.heldLate;
     load.meanWork = this->meanWork;
     const auto mean = this->meanWork.count() > 0 ? this->meanWork : assumedWork;
+    const double slotSeconds = this->decayedDemand(now) / seconds(demandWindow) * seconds(mean);
+    load.demandPercent
+        = static_cast<std::uint32_t>(std::clamp(slotSeconds / this->slots * allPercent, 0.0, mostDemandPercent));
     load.longRunning = this->flows.workingLongerThan(mean * longRequestMeans, now);
     load.leaving = this->leaving;
     return load;
@@ -109,14 +133,18 @@
         return;
     }
     const AgentLoad load = this->currentLoad(now);
-    const auto wait = expectedWait(load, 0);
+    const auto wait = expectedWait(load, 0, offer.urgency);
+    if (offer.urgency == FlowUrgency::InTime) {
+        this->demand = this->decayedDemand(now) + 1;
+        this->demandAt = now;
+    }
     if (wait > offer.waitLimit) {
         actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::RefusedFull, wait, {} });
         return;
     }
     actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::Admitted, wait, {} });
     if (load.opening + load.working >= this->deliveryLimit()) {
-        this->held.emplace(offer.priority, HeldFlow { key, offer, now, { datagram.begin(), datagram.end() } });
+        this->held.emplace(HeldRank { offer.urgency, offer.priority }, HeldFlow { key, offer, now, { datagram.begin(), datagram.end() } });
         return;
     }
     this->flows.open(key, offer.balancer, now);
@@ -277,7 +305,7 @@
 void HostAdmission::setService(std::uint64_t nextService, TimePoint, std::vector<AgentAction>& actions)
 {
     this->service = nextService;
-    for (const auto& [priority, flow] : this->held) {
+    for (const auto& [rank, flow] : this->held) {
         actions.emplace_back(SendVerdict { flow.offer.balancer, flow.flow, FlowVerdict::WrongService, {}, {} });
     }
     this->held.clear();
--- a/src/coordination/HostAdmission.h
+++ b/src/coordination/HostAdmission.h
@@ -21,6 +21,7 @@
     Endpoint balancer;
     std::chrono::milliseconds waitLimit { 0 };
     std::uint32_t priority { 0 };
+    FlowUrgency urgency { FlowUrgency::InTime };
     std::uint32_t slots { 0 }; // of the backend server, as it publishes them; 0: not known
 };
 
@@ -79,6 +80,9 @@
         std::vector<std::uint8_t> datagram;
     };
 
+    // Flows that can be in time come first, then the lower number of the priority.
+    using HeldRank = std::pair<FlowUrgency, std::uint32_t>;
+
     // A packet of a flow that is not in the table was delivered, because the backend server may hold the flow.
     struct Trial {
         Endpoint balancer;
@@ -92,6 +96,8 @@
         std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions);
     void answerBegins(HostFlow&, TimePoint now);
     void reportAnswer(HostFlow&, const FlowKey&, const FlowPacket&, TimePoint now, std::vector<AgentAction>& actions);
+    std::uint32_t heldLate() const;
+    double decayedDemand(TimePoint now) const;
     void learnWork(std::chrono::microseconds work);
 
     std::uint64_t lifetime;
@@ -104,7 +110,9 @@
     std::chrono::microseconds meanWork { 0 };
     bool leaving { false };
     HostFlows flows;
-    std::multimap<std::uint32_t, HeldFlow> held; // by priority, oldest first
+    std::multimap<HeldRank, HeldFlow> held; // best first, oldest first among equals
+    double demand { 0 }; // flows in time, each counted down by its age
+    TimePoint demandAt;
     std::vector<HeldFlow> delivered; // keeps the datagrams of the last actions
     std::unordered_map<FlowKey, Trial, FlowKeyHash> trials;
     TimePoint nextSweep;
--- a/src/coordination/SteeringAction.h
+++ b/src/coordination/SteeringAction.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/AgentLoad.h"
 #include "protocol/Endpoint.h"
 #include "state/FlowKey.h"
 
@@ -25,6 +26,7 @@
     std::uint64_t service { 0 }; // serviceHash()
     std::chrono::milliseconds waitLimit { 0 }; // new flow: longest wait for a slot
     std::uint32_t priority { 0 }; // new flow: 0 is the highest
+    FlowUrgency urgency { FlowUrgency::InTime }; // new flow
     std::uint32_t slots { 0 }; // new flow: of the backend server, as it publishes them
     std::span<const std::uint8_t> datagram;
 };
