Share what balancers know of the store; three of them read it

After all processes had been killed at 34.0 s they knew nothing for 7 s, and as fewer than half of a zone's balancers were ready the routers used them all the same. Ruled out: the start itself (the others were ready after 11 ms). Change: balancers greet each other (seeds, hellos, addresses that agents report) with the revision that they know; one that cannot read the store takes the whole state from a peer that knows more. Three balancers by rank read the store, the others follow them. The wait of a watch is 2.5 s, so that a silent connection is found within 4 s.

--- a/src/app/AgentNode.cpp
+++ b/src/app/AgentNode.cpp
@@ -33,6 +33,10 @@
 // A balancer that has restarted is told of this agent for as long.
 constexpr std::chrono::seconds balancerLifetime { 30 };
 
+// Balancers learn of each other through agents, also while the store and the seeds cannot be reached.
+constexpr std::chrono::milliseconds balancerLive { 1000 };
+constexpr std::size_t mostBalancersTold = 8;
+
 // Balancers learn that this agent leaves before it is gone, also when one report is lost.
 constexpr milliseconds leastStop { 300 };
 
@@ -184,12 +188,26 @@
     }
 }
 
+std::vector<std::uint32_t> AgentNode::balancersFor(const Endpoint& address, TimePoint now) const
+{
+    std::vector<std::uint32_t> addresses;
+    for (const auto& [other, balancer] : this->balancers) {
+        if (other != address && now - balancer.lastHeard < balancerLive && addresses.size() < mostBalancersTold) {
+            addresses.push_back(other.address);
+        }
+    }
+    return addresses;
+}
+
 void AgentNode::sendReport(const Endpoint& address, Balancer& balancer, TimePoint now)
 {
     const AgentLoad load = this->admission.load(now);
     do {
         const auto count = std::min(balancer.verdicts.size(), SteeringMessages::mostVerdicts);
-        ReportMessage report { load, {} };
+        ReportMessage report { load, {}, {} };
+        if (balancer.due) {
+            report.balancers = this->balancersFor(address, now);
+        }
         report.verdicts.assign(balancer.verdicts.begin(), balancer.verdicts.begin() + static_cast<std::ptrdiff_t>(count));
         balancer.verdicts.erase(balancer.verdicts.begin(), balancer.verdicts.begin() + static_cast<std::ptrdiff_t>(count));
         const auto datagram = this->messages.encode(report);
--- a/src/app/AgentNode.h
+++ b/src/app/AgentNode.h
@@ -47,6 +47,7 @@
     void takeSteered(const Endpoint& balancer, const SteerPacket&, TimePoint now);
     void perform(TimePoint now);
     void sendReports(TimePoint now);
+    std::vector<std::uint32_t> balancersFor(const Endpoint&, TimePoint now) const;
     void sendReport(const Endpoint& address, Balancer&, TimePoint now);
     void tick(TimePoint now);
     void onSettings(const NodeSettings&);
--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -1,5 +1,6 @@
 #include "app/BalancerNode.h"
 
+#include "app/DirectorySnapshot.h"
 #include "platform/PacketFormat.h"
 #include "platform/Readiness.h"
 #include "platform/SettingsFile.h"
@@ -25,6 +26,9 @@
 // An agent that misses three hellos has lost this balancer; a lost agent is noticed by its reports within the same time.
 constexpr milliseconds helloInterval { 250 };
 
+// Keeps a hello small; a peer hears of all balancers from several others.
+constexpr std::size_t mostPeersTold = 16;
+
 // Hosts that are missing are looked at this often.
 constexpr milliseconds expiryInterval { 200 };
 
@@ -59,12 +63,70 @@
     , packetSocket(this->settings.packetAddress)
     , peerSocket(this->settings.peerAddress)
     , reload(std::move(settingsPath), platform::readSettingsFile, this->settings, this->log, this->metrics,
-          [this](const NodeSettings& next) { this->reader.setStore(next.store); })
+          [this](const NodeSettings& next) { this->onSettings(next); })
     , placement(this->settings.availabilityZone, this->lifetime)
     , steering(this->directory, this->placement)
     , reader(this->settings.store, this->loop, this->directory, this->log, this->metrics, this->lifetime,
-          [this] { this->onDirectoryChange(); })
+          [this] { this->onDirectoryChange(); },
+          [this](const Endpoint& peer) { this->peers.fetchFailed(peer, std::chrono::steady_clock::now()); })
+    , peers(this->settings.peerAddress)
+{
+    this->onSettings(this->settings);
+}
+
+void BalancerNode::onSettings(const NodeSettings& next)
+{
+    this->reader.setStore(next.store);
+    std::vector<Endpoint> seeds;
+    for (const std::uint32_t address : next.seedAddresses) {
+        // Ports are the same on all machines.
+        seeds.push_back({ address, this->settings.peerAddress.port });
+    }
+    this->peers.setSeeds(std::move(seeds));
+}
+
+void BalancerNode::publishSnapshot()
+{
+    std::string encoded = encodeSnapshot(this->directory, this->reader.revision());
+    const std::lock_guard lock(this->snapshotMutex);
+    this->encodedSnapshot = std::move(encoded);
+}
+
+std::string BalancerNode::snapshot() const
+{
+    const std::lock_guard lock(this->snapshotMutex);
+    return this->encodedSnapshot;
+}
+
+void BalancerNode::learnPeers(const std::vector<std::uint32_t>& addresses, TimePoint now)
+{
+    std::vector<Endpoint> endpoints;
+    for (const std::uint32_t address : addresses) {
+        endpoints.push_back({ address, this->settings.peerAddress.port });
+    }
+    this->peers.learn(endpoints, now);
+}
+
+void BalancerNode::takeHello(const Endpoint& peer, const HelloMessage& hello, TimePoint now)
 {
+    this->peers.heard(peer, hello.state, now);
+    this->learnPeers(hello.balancers, now);
+    this->followPeers(now);
+}
+
+void BalancerNode::followPeers(TimePoint now)
+{
+    this->reader.setReading(this->peers.isReader(now) || !this->directory.hasRoutes());
+    if (this->reader.isFetching()) {
+        return;
+    }
+    // A process that reads the store itself gets changes from there, unless its calls fail.
+    if (this->reader.available() && this->peers.isReader(now)) {
+        return;
+    }
+    if (const auto peer = this->peers.newerPeer(this->reader.revision(), now)) {
+        this->reader.fetchFrom(*peer, now);
+    }
 }
 
 void BalancerNode::onDirectoryChange()
@@ -85,7 +147,7 @@
             { { "configuration", static_cast<std::int64_t>(this->directory.routes().version) },
                 { "hosts", static_cast<std::int64_t>(agents.size()) } });
     }
-    this->nextHello = now;
+    this->nextHello = now; // tells peers of the change at once
     this->steering.retryWaiting(now, this->actions);
     this->perform(now);
 }
@@ -161,6 +223,7 @@
     if (!this->placement.report(agent, message.load, now)) {
         this->metrics.drops("take report", "old_or_unknown").Increment();
     }
+    this->learnPeers(message.balancers, now);
     for (const VerdictMessage& item : message.verdicts) {
         this->steering.verdict(agent, item.flow, item.verdict, now, this->actions);
         if (item.verdict > FlowVerdict::Owned) {
@@ -185,10 +248,12 @@
         const auto now = std::chrono::steady_clock::now();
         for (const ReceivedDatagram& datagram : datagrams) {
             const auto message = this->messages.decode(datagram.bytes);
-            if (message && std::holds_alternative<ReportMessage>(*message)) {
-                this->takeReport(datagram.source, std::get<ReportMessage>(*message), now);
-            } else {
+            if (!message || std::holds_alternative<SteerPacket>(*message)) {
                 this->metrics.drops("take message", "malformed").Increment();
+            } else if (const auto* report = std::get_if<ReportMessage>(&*message)) {
+                this->takeReport(datagram.source, *report, now);
+            } else {
+                this->takeHello(datagram.source, std::get<HelloMessage>(*message), now);
             }
         }
     }
@@ -197,10 +262,18 @@
 void BalancerNode::sendHellos(TimePoint now)
 {
     this->nextHello = now + helloInterval;
-    const auto hello = this->messages.encode(HelloMessage { this->lifetime });
+    this->publishSnapshot();
+    HelloMessage message { { this->lifetime, this->reader.revision(), this->reader.available() }, {} };
+    for (const Endpoint& peer : this->peers.livePeers(now, mostPeersTold)) {
+        message.balancers.push_back(peer.address);
+    }
+    const auto hello = this->messages.encode(message);
     for (const Endpoint& agent : this->placement.agents()) {
         this->peerSocket.queue(agent, 0, hello);
     }
+    for (const Endpoint& peer : this->peers.peersToGreet(now)) {
+        this->peerSocket.queue(peer, 0, hello);
+    }
     this->peerSocket.flush();
 }
 
@@ -218,6 +291,7 @@
 
 void BalancerNode::tick(TimePoint now)
 {
+    this->followPeers(now);
     this->reader.tick(now);
     if (now >= this->nextExpiry) {
         this->nextExpiry = now + expiryInterval;
@@ -274,8 +348,10 @@
 
 void BalancerNode::run()
 {
-    const AdminServer admin({ this->settings.readyAddress, this->settings.metricsAddress }, this->metrics,
-        { [this] { return this->ready.load(); }, [this] { return this->status(); }, platform::readinessPath });
+    const AdminServer admin({ this->settings.readyAddress, this->settings.metricsAddress, this->settings.peerAddress },
+        this->metrics,
+        { [this] { return this->ready.load(); }, [this] { return this->status(); }, platform::readinessPath,
+            [this] { return this->snapshot(); } });
     this->log.log(EventLog::Importance::Notable, "started",
         { { "packets", formatEndpoint(this->settings.packetAddress) },
             { "peers", formatEndpoint(this->settings.peerAddress) },
--- a/src/app/BalancerNode.h
+++ b/src/app/BalancerNode.h
@@ -7,6 +7,7 @@
 #include "coordination/FlowPlacement.h"
 #include "coordination/FlowSteering.h"
 #include "state/HostDirectory.h"
+#include "state/PeerBalancers.h"
 #include "support/EventLog.h"
 #include "support/Metrics.h"
 #include "transport/EventLoop.h"
@@ -16,6 +17,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -37,12 +39,18 @@
     void takeMessages();
     void takeReport(const Endpoint& agent, const ReportMessage&, TimePoint now);
     void onDirectoryChange();
+    void onSettings(const NodeSettings&);
     void perform(TimePoint now);
     void steer(const SteerPacket&);
     void reset(const ResetFlow&);
     void noticePause(std::chrono::nanoseconds now);
     void tick(TimePoint now);
     void sendHellos(TimePoint now);
+    void takeHello(const Endpoint& peer, const HelloMessage&, TimePoint now);
+    void learnPeers(const std::vector<std::uint32_t>& addresses, TimePoint now);
+    void followPeers(TimePoint now);
+    void publishSnapshot();
+    std::string snapshot() const;
     void startStop(TimePoint now);
     bool isStopped(TimePoint now) const;
     std::chrono::milliseconds timeout(TimePoint now) const;
@@ -61,6 +69,7 @@
     FlowPlacement placement;
     FlowSteering steering;
     StoreReader reader;
+    PeerBalancers peers;
     SteeringMessages messages;
     std::vector<SteeringAction> actions;
     TimePoint nextHello;
@@ -70,6 +79,8 @@
     std::chrono::nanoseconds lastTurn { 0 }; // of the clock that counts while the machine is suspended
     bool discardingStale { false };
     bool stopping { false };
+    mutable std::mutex snapshotMutex; // the snapshot is read by the threads that serve HTTP
+    std::string encodedSnapshot;
     std::atomic<bool> ready { false };
     std::atomic<std::uint64_t> configurationVersion { 0 };
     std::atomic<std::uint64_t> flowCount { 0 };
--- /dev/null
+++ b/src/app/DirectorySnapshot.cpp
@@ -0,0 +1,79 @@
+#include "app/DirectorySnapshot.h"
+
+#include "state/HostDirectory.h"
+#include "steering.pb.h"
+
+namespace chicoryferry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+RouteTable readRoutes(const wire::DirectorySnapshot& snapshot)
+{
+    RouteTable table;
+    table.version = snapshot.configuration_version();
+    table.idleTimeout = milliseconds(snapshot.idle_timeout_ms());
+    for (const auto& item : snapshot.routes()) {
+        table.routes[{ item.address(), static_cast<std::uint16_t>(item.port()) }] = { item.service(),
+            item.idempotent(), milliseconds(item.target_latency_ms()), milliseconds(item.timeout_ms()),
+            item.priority() };
+    }
+    return table;
+}
+
+}
+
+std::string encodeSnapshot(const HostDirectory& directory, std::uint64_t revision)
+{
+    wire::DirectorySnapshot snapshot;
+    snapshot.set_revision(revision);
+    snapshot.set_configuration_version(directory.routes().version);
+    snapshot.set_idle_timeout_ms(static_cast<std::uint32_t>(directory.routes().idleTimeout.count()));
+    for (const auto& [address, route] : directory.routes().routes) {
+        auto& item = *snapshot.add_routes();
+        item.set_address(address.address);
+        item.set_port(address.port);
+        item.set_service(route.service);
+        item.set_idempotent(route.idempotent);
+        item.set_target_latency_ms(static_cast<std::uint32_t>(route.targetLatency.count()));
+        item.set_timeout_ms(static_cast<std::uint32_t>(route.timeout.count()));
+        item.set_priority(route.priority);
+    }
+    for (const KnownHost* host : directory.hosts()) {
+        if (host->missingSince) {
+            continue;
+        }
+        auto& item = *snapshot.add_hosts();
+        item.set_id(host->entry.id);
+        item.set_service(host->entry.service);
+        item.set_address(host->entry.address.address);
+        item.set_port(host->entry.address.port);
+        item.set_availability_zone(host->entry.availabilityZone);
+        item.set_slots(host->entry.slots);
+        item.set_draining(host->entry.draining);
+        item.set_started_at_ms(host->entry.startedAtMs);
+    }
+    return snapshot.SerializeAsString();
+}
+
+std::optional<DirectorySnapshot> decodeSnapshot(const std::string& bytes)
+{
+    wire::DirectorySnapshot snapshot;
+    if (!snapshot.ParseFromString(bytes)) {
+        return std::nullopt;
+    }
+    DirectorySnapshot result;
+    result.revision = snapshot.revision();
+    if (snapshot.configuration_version() > 0) {
+        result.changes.emplace_back(RouteTableWritten { readRoutes(snapshot) });
+    }
+    for (const auto& item : snapshot.hosts()) {
+        result.changes.emplace_back(HostWritten { { item.id(), item.service(),
+            { item.address(), static_cast<std::uint16_t>(item.port()) }, item.availability_zone(), item.slots(),
+            item.draining(), milliseconds(0), item.started_at_ms() } });
+    }
+    return result;
+}
+
+}
--- a/src/app/SteeringMessages.cpp
+++ b/src/app/SteeringMessages.cpp
@@ -59,6 +59,7 @@
     message.load = { report.lifetime(), report.sequence(), report.service(), report.slots(), report.working(),
         report.opening(), report.held(), report.held_late(), report.demand_percent(), report.long_running(), std::chrono::microseconds(report.mean_work_us()),
         report.leaving() };
+    message.balancers.assign(report.balancers().begin(), report.balancers().end());
     for (const wire::FlowVerdict& item : report.verdicts()) {
         for (const auto& [wireVerdict, verdict] : verdicts) {
             if (item.verdict() == wireVerdict) {
@@ -118,6 +119,7 @@
     report.set_long_running(load.longRunning);
     report.set_mean_work_us(static_cast<std::uint32_t>(load.meanWork.count()));
     report.set_leaving(load.leaving);
+    report.mutable_balancers()->Add(message.balancers.begin(), message.balancers.end());
     for (const VerdictMessage& verdict : message.verdicts) {
         wire::FlowVerdict& item = *report.add_verdicts();
         item.mutable_flow()->set_caller_address(verdict.flow.caller.address);
@@ -135,7 +137,12 @@
 
 std::vector<std::uint8_t> SteeringMessages::encode(const HelloMessage& message)
 {
-    this->header->mutable_hello()->set_lifetime(message.lifetime);
+    wire::BalancerHello& hello = *this->header->mutable_hello();
+    hello.Clear();
+    hello.set_lifetime(message.state.lifetime);
+    hello.set_revision(message.state.revision);
+    hello.set_store_available(message.state.storeAvailable);
+    hello.mutable_balancers()->Add(message.balancers.begin(), message.balancers.end());
     return this->encodeHeader();
 }
 
@@ -156,7 +163,9 @@
         return report ? std::optional<SteeringMessage>(std::move(*report)) : std::nullopt;
     }
     if (this->header->has_hello()) {
-        return HelloMessage { this->header->hello().lifetime() };
+        const wire::BalancerHello& hello = this->header->hello();
+        return HelloMessage { { hello.lifetime(), hello.revision(), hello.store_available() },
+            { hello.balancers().begin(), hello.balancers().end() } };
     }
     return std::nullopt;
 }
--- a/src/app/SteeringMessages.h
+++ b/src/app/SteeringMessages.h
@@ -4,6 +4,7 @@
 #include "coordination/FlowVerdict.h"
 #include "coordination/SteeringAction.h"
 #include "state/FlowKey.h"
+#include "state/PeerBalancers.h"
 
 #include <cstdint>
 #include <memory>
@@ -29,11 +30,13 @@
 struct ReportMessage {
     AgentLoad load;
     std::vector<VerdictMessage> verdicts;
+    std::vector<std::uint32_t> balancers; // addresses of balancers heard of lately
 };
 
 // A balancer's greeting.
 struct HelloMessage {
-    std::uint64_t lifetime { 0 };
+    PeerState state;
+    std::vector<std::uint32_t> balancers; // addresses of others heard of lately
 };
 
 // SteerPacket with an agent address of 0: the agent is the receiver.
--- a/src/app/StoreReader.cpp
+++ b/src/app/StoreReader.cpp
@@ -1,5 +1,6 @@
 #include "app/StoreReader.h"
 
+#include "app/DirectorySnapshot.h"
 #include "platform/StoreDocuments.h"
 #include "state/HostDirectory.h"
 #include "support/Error.h"
@@ -20,9 +21,9 @@
 // The store answers in 4 ms, and 60 times as slowly at times.
 constexpr milliseconds callTimeout { 1000 };
 
-// A connection that went silent is found after this time and callTimeout, which leaves time to apply a change within
-// the 4 s + 3 s for machines in touch.
-constexpr milliseconds watchWait { 5000 };
+// A connection that went silent is found after this time and callTimeout; machines count as in touch again 4 s after
+// such a fault, and must then have the changes of before.
+constexpr milliseconds watchWait { 2500 };
 
 // Changes that follow each other are taken with one call; they must be in force within 3 s.
 constexpr milliseconds changesPause { 150 };
@@ -36,20 +37,31 @@
 }
 
 StoreReader::StoreReader(const Endpoint& storeAddress, EventLoop& eventLoop, HostDirectory& hostDirectory,
-    EventLog& eventLog, Metrics& processMetrics, std::uint64_t seed, std::function<void()> changeHandler)
+    EventLog& eventLog, Metrics& processMetrics, std::uint64_t seed, std::function<void()> changeHandler,
+    std::function<void(const Endpoint&)> fetchFailureHandler)
     : store(storeAddress)
     , loop(eventLoop)
     , directory(hostDirectory)
     , log(eventLog)
     , metrics(processMetrics)
     , onChange(std::move(changeHandler))
+    , onFetchFailed(std::move(fetchFailureHandler))
     , random(static_cast<std::minstd_rand::result_type>(seed))
 {
 }
 
 StoreReader::~StoreReader() = default;
 
-StoreReader::TimePoint StoreReader::nextTick() const { return this->exchange ? this->deadline : this->nextCall; }
+StoreReader::TimePoint StoreReader::nextTick() const
+{
+    TimePoint next = TimePoint::max();
+    if (this->exchange) {
+        next = this->deadline;
+    } else if (this->reading) {
+        next = this->nextCall;
+    }
+    return this->fetch ? std::min(next, this->fetchDeadline) : next;
+}
 
 void StoreReader::tick(TimePoint now)
 {
@@ -59,11 +71,67 @@
         this->exchange.reset();
         this->fail(step, "no answer in time", now);
     }
-    if (!this->exchange && now >= this->nextCall) {
+    if (this->fetch && now >= this->fetchDeadline) {
+        const std::string step = this->fetch->step();
+        this->fetch.reset();
+        this->endFetch(step, "no answer in time", now);
+    }
+    if (!this->exchange && this->reading && now >= this->nextCall) {
         this->startCall(now);
     }
 }
 
+void StoreReader::fetchFrom(const Endpoint& peer, TimePoint now)
+{
+    this->fetchPeer = peer;
+    this->fetchDeadline = now + callTimeout;
+    this->metrics.events("peer_fetch").Increment();
+    this->fetch = std::make_unique<HttpExchange>(this->loop, peer, "/v1/directory", maximumAnswerBytes,
+        [this](HttpExchange::Result result) { this->onFetched(std::move(result)); });
+}
+
+void StoreReader::endFetch(const std::string& step, const std::string& reason, TimePoint)
+{
+    this->metrics.retries("fetch from peer", "peer_unavailable").Increment();
+    this->log.log(EventLog::Importance::Notable, "peer_fetch_failed",
+        { { "peer", formatEndpoint(this->fetchPeer) }, { "step", step }, { "reason", reason } });
+    this->onFetchFailed(this->fetchPeer);
+}
+
+void StoreReader::onFetched(HttpExchange::Result result)
+{
+    const auto now = std::chrono::steady_clock::now();
+    this->finished = std::move(this->fetch);
+    if (result.status != statusOk) {
+        this->endFetch(result.step, result.status == 0 ? result.reason : "status " + std::to_string(result.status), now);
+        return;
+    }
+    const auto snapshot = decodeSnapshot(result.body);
+    if (!snapshot) {
+        this->endFetch("read answer", "not a snapshot", now);
+        return;
+    }
+    if (snapshot->revision <= this->watchedRevision) {
+        return; // own calls were faster
+    }
+    this->directory.beginListing();
+    this->apply(snapshot->changes, snapshot->revision, now);
+    this->watchedRevision = snapshot->revision;
+    if (this->listing) {
+        // The peer knows what a listing under way could tell.
+        this->listing = false;
+        this->listAfter.clear();
+        this->exchange.reset();
+        this->nextCall = now;
+    }
+    if (this->directory.endListing(now)) {
+        this->onChange();
+    }
+    this->log.log(EventLog::Importance::Notable, "peer_state_taken",
+        { { "peer", formatEndpoint(this->fetchPeer) }, { "revision", static_cast<std::int64_t>(snapshot->revision) },
+            { "configuration", static_cast<std::int64_t>(this->directory.routes().version) } });
+}
+
 void StoreReader::startCall(TimePoint now)
 {
     const std::string target = this->listing ? platform::listTarget(this->listAfter)
@@ -94,6 +162,7 @@
 {
     this->backoff = milliseconds(0);
     this->nextCall = now;
+    this->answered = true;
     if (this->unavailable) {
         this->unavailable = false;
         this->log.log(EventLog::Importance::Notable, "store_regained",
@@ -131,10 +200,10 @@
     }
 }
 
-void StoreReader::apply(const platform::StoreAnswer& answer, TimePoint now)
+void StoreReader::apply(const std::vector<DirectoryChange>& changes, std::uint64_t revision, TimePoint now)
 {
     bool changed = false;
-    for (const DirectoryChange& change : answer.changes) {
+    for (const DirectoryChange& change : changes) {
         const auto effect = this->directory.apply(change, now);
         changed = changed || effect == HostDirectory::Effect::HostsChanged
             || effect == HostDirectory::Effect::RoutesChanged;
@@ -152,7 +221,7 @@
         } else if (effect == HostDirectory::Effect::RoutesChanged) {
             this->log.log(EventLog::Importance::Notable, "configuration_in_force",
                 { { "configuration", static_cast<std::int64_t>(this->directory.routes().version) },
-                    { "revision", static_cast<std::int64_t>(answer.revision) },
+                    { "revision", static_cast<std::int64_t>(revision) },
                     { "routes", static_cast<std::int64_t>(this->directory.routes().routes.size()) } });
         } else if (effect == HostDirectory::Effect::HostsChanged) {
             const auto* written = std::get_if<HostWritten>(&change);
@@ -163,7 +232,7 @@
                         written == nullptr           ? "gone"
                             : written->entry.draining ? "draining"
                                                       : "ready" },
-                    { "revision", static_cast<std::int64_t>(answer.revision) } });
+                    { "revision", static_cast<std::int64_t>(revision) } });
         }
     }
     if (changed) {
@@ -178,7 +247,7 @@
         this->listRevision = answer.revision;
         this->directory.beginListing();
     }
-    this->apply(answer, now);
+    this->apply(answer.changes, answer.revision, now);
     this->listAfter = answer.nextAfter;
     this->succeeded(now);
     if (!this->listAfter.empty()) {
@@ -193,7 +262,7 @@
 
 void StoreReader::takeEvents(const platform::StoreAnswer& answer, TimePoint now)
 {
-    this->apply(answer, now);
+    this->apply(answer.changes, answer.revision, now);
     this->watchedRevision = std::max(this->watchedRevision, answer.revision);
     this->succeeded(now);
     this->nextCall = answer.changes.empty() ? now : now + changesPause;
--- a/src/app/StoreReader.h
+++ b/src/app/StoreReader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "protocol/Endpoint.h"
+#include "state/DirectoryChange.h"
 #include "transport/HttpExchange.h"
 
 #include <chrono>
@@ -9,7 +10,7 @@
 #include <memory>
 #include <random>
 #include <string>
-#include <variant>
+#include <vector>
 
 namespace chicoryferry {
 
@@ -30,22 +31,36 @@
 
     // onChange is called after hosts or routes have changed. The references must outlive this object.
     StoreReader(const Endpoint& store, EventLoop&, HostDirectory&, EventLog&, Metrics&, std::uint64_t seed,
-        std::function<void()> onChange);
+        std::function<void()> onChange, std::function<void(const Endpoint&)> onFetchFailed);
     ~StoreReader();
 
     // Starts calls that are due and ends those that take too long.
     void tick(TimePoint now);
     TimePoint nextTick() const;
 
+    // Whether this process calls the store; if not, a call that is under way ends first.
+    void setReading(bool enabled) { this->reading = enabled; }
+
+    // Takes the whole state from a peer that knows more. The handler is told whether it succeeded.
+    void fetchFrom(const Endpoint& peer, TimePoint now);
+    bool isFetching() const { return this->fetch != nullptr; }
+
+    std::uint64_t revision() const { return this->watchedRevision; }
+
+    // Whether the last call was answered; false until the first answer.
+    bool available() const { return this->answered && !this->unavailable; }
+
     // From now on calls go to this address.
     void setStore(const Endpoint& address) { this->store = address; }
 
 private:
     void startCall(TimePoint now);
     void onResult(HttpExchange::Result);
+    void onFetched(HttpExchange::Result);
     void takeListing(const platform::StoreAnswer&, TimePoint now);
     void takeEvents(const platform::StoreAnswer&, TimePoint now);
-    void apply(const platform::StoreAnswer&, TimePoint now);
+    void apply(const std::vector<DirectoryChange>&, std::uint64_t revision, TimePoint now);
+    void endFetch(const std::string& step, const std::string& reason, TimePoint now);
     void fail(const std::string& step, const std::string& reason, TimePoint now);
     void succeeded(TimePoint now);
 
@@ -55,10 +70,16 @@
     EventLog& log;
     Metrics& metrics;
     std::function<void()> onChange;
+    std::function<void(const Endpoint&)> onFetchFailed;
     std::minstd_rand random;
 
     std::unique_ptr<HttpExchange> exchange;
     std::unique_ptr<HttpExchange> finished; // destroyed at the next tick, because its handler may be running
+    std::unique_ptr<HttpExchange> fetch;
+    Endpoint fetchPeer;
+    TimePoint fetchDeadline;
+    bool reading { true };
+    bool answered { false };
     TimePoint deadline; // of the call
     TimePoint nextCall;
     TimePoint callStart;
--- a/src/transport/AdminServer.cpp
+++ b/src/transport/AdminServer.cpp
@@ -70,6 +70,9 @@
         mg_set_request_handler(this->server, "/healthz$", handleHealth, this);
         mg_set_request_handler(this->server, (this->source.readyPath + "$").c_str(), handleReady, this);
         mg_set_request_handler(this->server, "/v1/status$", handleStatus, this);
+        if (this->source.snapshot) {
+            mg_set_request_handler(this->server, "/v1/directory$", handleSnapshot, this);
+        }
     }
 
     ~Implementation()
@@ -116,6 +119,14 @@
         return sendAnswer(connection, statusOk, "application/json", self(data).source.statusJson() + "\n");
     }
 
+    static int handleSnapshot(mg_connection* connection, void* data)
+    {
+        if (!isRead(connection)) {
+            return refuseMethod(connection);
+        }
+        return sendAnswer(connection, statusOk, "application/x-protobuf", self(data).source.snapshot());
+    }
+
     const Metrics& metrics;
     Source source;
     mg_context* server { nullptr };
--- a/src/transport/AdminServer.h
+++ b/src/transport/AdminServer.h
@@ -19,6 +19,7 @@
         std::function<bool()> ready;
         std::function<std::string()> statusJson;
         std::string readyPath { "/readyz" };
+        std::function<std::string()> snapshot {}; // served to peers at /v1/directory; none: not served
     };
 
     // Binds the address (port 0: chosen by the kernel) and starts serving. Throws UserError when it cannot be bound.
