--- a/src/app/AgentNode.cpp
+++ b/src/app/AgentNode.cpp
@@ -49,10 +49,7 @@
     return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
-std::string formatFlow(const FlowKey& key)
-{
-    return formatEndpoint(key.caller) + ">" + formatEndpoint(key.service);
-}
+std::string formatFlow(const FlowKey& key) { return formatEndpoint(key.caller) + ">" + formatEndpoint(key.service); }
 
 }
 
@@ -83,41 +80,39 @@
 void AgentNode::perform(TimePoint now)
 {
     for (const AgentAction& action : this->actions) {
-        std::visit(Overloaded {
-                       [this](const DeliverToBackendServer& delivery) {
-                           this->hostSocket.queue(this->settings.backendServer, 0, delivery.datagram);
-                       },
-                       [this](const DeliverToCaller& delivery) {
-                           this->hostSocket.queue(
-                               { delivery.caller.address, this->settings.packetAddress.port }, 0, delivery.datagram);
-                       },
-                       [&](const SendVerdict& verdict) {
-                           Balancer& balancer = this->balancers[verdict.balancer];
-                           balancer.lastHeard = now;
-                           balancer.verdicts.push_back({ verdict.flow, verdict.verdict });
-                           this->metrics.events("verdict_" + std::string(flowVerdictName(verdict.verdict)))
-                               .Increment();
-                           const AgentLoad load = this->admission.currentLoad(now);
-                           this->log.log(verdict.verdict <= FlowVerdict::Owned ? EventLog::Importance::Routine
-                                                                               : EventLog::Importance::Notable,
-                               "flow_verdict",
-                               { { "flow", formatFlow(verdict.flow) }, { "verdict", flowVerdictName(verdict.verdict) },
-                                   { "expected_wait_us", verdict.expectedWait.count() },
-                                   { "held_us", verdict.held.count() }, { "working", load.working },
-                                   { "opening", load.opening }, { "held", load.held }, { "held_late", load.heldLate },
-                                   { "demand_percent", load.demandPercent }, { "slots", load.slots } });
-                       },
-                       [this](const ReportAnswer& answer) {
-                           this->metrics.duration("request").Observe(
-                               std::chrono::duration<double>(answer.work).count());
-                           this->log.log(answer.status >= 500 ? EventLog::Importance::Notable
-                                                              : EventLog::Importance::Routine,
-                               "request_answered",
-                               { { "request", answer.requestId }, { "flow", formatFlow(answer.flow) },
-                                   { "status", answer.status }, { "work_us", answer.work.count() },
-                                   { "since_first_packet_us", answer.sinceFirstPacket.count() } });
-                       },
-                   },
+        std::visit(
+            Overloaded {
+                [this](const DeliverToBackendServer& delivery) {
+                    this->hostSocket.queue(this->settings.backendServer, 0, delivery.datagram);
+                },
+                [this](const DeliverToCaller& delivery) {
+                    this->hostSocket.queue(
+                        { delivery.caller.address, this->settings.packetAddress.port }, 0, delivery.datagram);
+                },
+                [&](const SendVerdict& verdict) {
+                    Balancer& balancer = this->balancers[verdict.balancer];
+                    balancer.lastHeard = now;
+                    balancer.verdicts.push_back({ verdict.flow, verdict.verdict });
+                    this->metrics.events("verdict_" + std::string(flowVerdictName(verdict.verdict))).Increment();
+                    const AgentLoad load = this->admission.currentLoad(now);
+                    this->log.log(verdict.verdict <= FlowVerdict::Owned ? EventLog::Importance::Routine
+                                                                        : EventLog::Importance::Notable,
+                        "flow_verdict",
+                        { { "flow", formatFlow(verdict.flow) }, { "verdict", flowVerdictName(verdict.verdict) },
+                            { "expected_wait_us", verdict.expectedWait.count() }, { "held_us", verdict.held.count() },
+                            { "working", load.working }, { "opening", load.opening }, { "held", load.held },
+                            { "held_late", load.heldLate }, { "demand_percent", load.demandPercent },
+                            { "slots", load.slots } });
+                },
+                [this](const ReportAnswer& answer) {
+                    this->metrics.duration("request").Observe(std::chrono::duration<double>(answer.work).count());
+                    this->log.log(answer.status >= 500 ? EventLog::Importance::Notable : EventLog::Importance::Routine,
+                        "request_answered",
+                        { { "request", answer.requestId }, { "flow", formatFlow(answer.flow) },
+                            { "status", answer.status }, { "work_us", answer.work.count() },
+                            { "since_first_packet_us", answer.sinceFirstPacket.count() } });
+                },
+            },
             action);
     }
     this->actions.clear();
@@ -132,8 +127,8 @@
         return;
     }
     if (steered.purpose == SteeringPurpose::NewFlow && packet->isFirst()) {
-        this->admission.newFlow({ balancer, steered.waitLimit, steered.priority, steered.urgency, steered.slots }, steered.service,
-            *packet, steered.datagram, now, this->actions);
+        this->admission.newFlow({ balancer, steered.waitLimit, steered.priority, steered.urgency, steered.slots },
+            steered.service, *packet, steered.datagram, now, this->actions);
     } else {
         this->admission.callerPacket(balancer, steered.service, steered.purpose == SteeringPurpose::Search, *packet,
             steered.datagram, now, this->actions);
@@ -208,8 +203,10 @@
         if (balancer.due) {
             report.balancers = this->balancersFor(address, now);
         }
-        report.verdicts.assign(balancer.verdicts.begin(), balancer.verdicts.begin() + static_cast<std::ptrdiff_t>(count));
-        balancer.verdicts.erase(balancer.verdicts.begin(), balancer.verdicts.begin() + static_cast<std::ptrdiff_t>(count));
+        report.verdicts.assign(
+            balancer.verdicts.begin(), balancer.verdicts.begin() + static_cast<std::ptrdiff_t>(count));
+        balancer.verdicts.erase(
+            balancer.verdicts.begin(), balancer.verdicts.begin() + static_cast<std::ptrdiff_t>(count));
         const auto datagram = this->messages.encode(report);
         this->peerSocket.queue(address, 0, datagram);
         this->peerSocket.flush();
@@ -223,8 +220,7 @@
 {
     for (auto& [address, balancer] : this->balancers) {
         const bool changed = balancer.reportedOccupied != this->admission.occupied();
-        if (!balancer.verdicts.empty() || balancer.due
-            || (changed && now - balancer.lastReport >= reportInterval)) {
+        if (!balancer.verdicts.empty() || balancer.due || (changed && now - balancer.lastReport >= reportInterval)) {
             this->sendReport(address, balancer, now);
         } else if (changed) {
             this->nextReports = std::min(this->nextReports, balancer.lastReport + reportInterval);
--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -23,7 +23,8 @@
 // Bounds one call, so that timers and messages are served under load.
 constexpr int batchesPerCall = 8;
 
-// An agent that misses three hellos has lost this balancer; a lost agent is noticed by its reports within the same time.
+// An agent that misses three hellos has lost this balancer; a lost agent is noticed by its reports within the same
+// time.
 constexpr milliseconds helloInterval { 250 };
 
 // Keeps a hello small; a peer hears of all balancers from several others.
@@ -49,10 +50,7 @@
     return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
-std::string formatFlow(const FlowKey& key)
-{
-    return formatEndpoint(key.caller) + ">" + formatEndpoint(key.service);
-}
+std::string formatFlow(const FlowKey& key) { return formatEndpoint(key.caller) + ">" + formatEndpoint(key.service); }
 
 }
 
@@ -66,7 +64,8 @@
           [this](const NodeSettings& next) { this->onSettings(next); })
     , placement(this->settings.availabilityZone, this->lifetime)
     , steering(this->directory, this->placement)
-    , reader(this->settings.store, this->loop, this->directory, this->log, this->metrics, this->lifetime,
+    , reader(
+          this->settings.store, this->loop, this->directory, this->log, this->metrics, this->lifetime,
           [this] { this->onDirectoryChange(); },
           [this](const Endpoint& peer) { this->peers.fetchFailed(peer, std::chrono::steady_clock::now()); })
     , peers(this->settings.peerAddress)
@@ -337,7 +336,8 @@
         return false;
     }
     const auto since = now - this->stopSince;
-    return since >= this->settings.stopGrace - stopMargin || (since >= leastStop && now - this->lastPacket >= quietStop);
+    return since >= this->settings.stopGrace - stopMargin
+        || (since >= leastStop && now - this->lastPacket >= quietStop);
 }
 
 std::string BalancerNode::status() const
--- a/src/app/DirectorySnapshot.cpp
+++ b/src/app/DirectorySnapshot.cpp
@@ -15,9 +15,8 @@
     table.version = snapshot.configuration_version();
     table.idleTimeout = milliseconds(snapshot.idle_timeout_ms());
     for (const auto& item : snapshot.routes()) {
-        table.routes[{ item.address(), static_cast<std::uint16_t>(item.port()) }] = { item.service(),
-            item.idempotent(), milliseconds(item.target_latency_ms()), milliseconds(item.timeout_ms()),
-            item.priority() };
+        table.routes[{ item.address(), static_cast<std::uint16_t>(item.port()) }] = { item.service(), item.idempotent(),
+            milliseconds(item.target_latency_ms()), milliseconds(item.timeout_ms()), item.priority() };
     }
     return table;
 }
@@ -69,9 +68,9 @@
         result.changes.emplace_back(RouteTableWritten { readRoutes(snapshot) });
     }
     for (const auto& item : snapshot.hosts()) {
-        result.changes.emplace_back(HostWritten { { item.id(), item.service(),
-            { item.address(), static_cast<std::uint16_t>(item.port()) }, item.availability_zone(), item.slots(),
-            item.draining(), milliseconds(0), item.started_at_ms() } });
+        result.changes.emplace_back(
+            HostWritten { { item.id(), item.service(), { item.address(), static_cast<std::uint16_t>(item.port()) },
+                item.availability_zone(), item.slots(), item.draining(), milliseconds(0), item.started_at_ms() } });
     }
     return result;
 }
--- a/src/app/SettingsReload.h
+++ b/src/app/SettingsReload.h
@@ -25,7 +25,8 @@
     // Reads the file when the interval has passed, or at once when it is forced.
     void check(bool force, TimePoint now);
 
-    // The file may change without a signal; an address that passes to another service does so after 2 s at the earliest.
+    // The file may change without a signal; an address that passes to another service does so after 2 s at the
+    // earliest.
     static constexpr std::chrono::milliseconds interval { 1000 };
 
 private:
--- a/src/app/SteeringMessages.cpp
+++ b/src/app/SteeringMessages.cpp
@@ -57,8 +57,8 @@
     }
     ReportMessage message;
     message.load = { report.lifetime(), report.sequence(), report.service(), report.slots(), report.working(),
-        report.opening(), report.held(), report.held_late(), report.demand_percent(), report.long_running(), std::chrono::microseconds(report.mean_work_us()),
-        report.leaving() };
+        report.opening(), report.held(), report.held_late(), report.demand_percent(), report.long_running(),
+        std::chrono::microseconds(report.mean_work_us()), report.leaving() };
     message.balancers.assign(report.balancers().begin(), report.balancers().end());
     for (const wire::FlowVerdict& item : report.verdicts()) {
         for (const auto& [wireVerdict, verdict] : verdicts) {
--- a/src/app/StoreReader.cpp
+++ b/src/app/StoreReader.cpp
@@ -103,7 +103,8 @@
     const auto now = std::chrono::steady_clock::now();
     this->finished = std::move(this->fetch);
     if (result.status != statusOk) {
-        this->endFetch(result.step, result.status == 0 ? result.reason : "status " + std::to_string(result.status), now);
+        this->endFetch(
+            result.step, result.status == 0 ? result.reason : "status " + std::to_string(result.status), now);
         return;
     }
     const auto snapshot = decodeSnapshot(result.body);
@@ -229,7 +230,7 @@
             this->log.log(EventLog::Importance::Notable, "host_changed",
                 { { "host", written != nullptr ? written->entry.id : removed->id },
                     { "state",
-                        written == nullptr           ? "gone"
+                        written == nullptr            ? "gone"
                             : written->entry.draining ? "draining"
                                                       : "ready" },
                     { "revision", static_cast<std::int64_t>(revision) } });
--- a/src/app/nodeMain.cpp
+++ b/src/app/nodeMain.cpp
@@ -24,8 +24,9 @@
                 return *status;
             }
         }
-        fmt::print(stderr, "chicoryferry-node: accepted: balancer or agent, with --settings PATH or "
-                           "CHICORYFERRY_SETTINGS\n");
+        fmt::print(stderr,
+            "chicoryferry-node: accepted: balancer or agent, with --settings PATH or "
+            "CHICORYFERRY_SETTINGS\n");
     } catch (const std::exception& error) {
         fmt::print(stderr, "chicoryferry-node: {}\n", error.what());
     }
--- a/src/coordination/AgentLoad.cpp
+++ b/src/coordination/AgentLoad.cpp
@@ -10,8 +10,8 @@
 // that is left.
 constexpr int meansLeftOfLongRequest = 3;
 
-// With less than this left over, a late flow is as good as never served.
-constexpr std::uint32_t leastPercentLeft = 5;
+// From this demand on the slots are as good as taken by flows in time, and a late flow would only delay them.
+constexpr std::uint32_t fullDemandPercent = 70;
 constexpr std::uint32_t allPercent = 100;
 
 std::chrono::microseconds waitBehind(const AgentLoad& load, std::uint32_t occupied)
@@ -37,8 +37,14 @@
     if (urgency == FlowUrgency::InTime) {
         return waitBehind(load, load.occupied() + more);
     }
-    const std::uint32_t left = std::max(leastPercentLeft, allPercent - std::min(allPercent, load.demandPercent));
-    return waitBehind(load, load.occupied() + load.heldLate + more) * allPercent / left;
+    const auto wait = waitBehind(load, load.occupied() + load.heldLate + more);
+    if (wait.count() == 0) {
+        return wait;
+    }
+    if (load.demandPercent >= fullDemandPercent) {
+        return std::chrono::microseconds::max();
+    }
+    return wait * allPercent / (allPercent - load.demandPercent);
 }
 
 }
--- a/src/coordination/FlowPlacement.cpp
+++ b/src/coordination/FlowPlacement.cpp
@@ -77,8 +77,7 @@
     return true;
 }
 
-double FlowPlacement::cost(
-    const State& state, FlowUrgency urgency, TimePoint now, std::chrono::microseconds& wait)
+double FlowPlacement::cost(const State& state, FlowUrgency urgency, TimePoint now, std::chrono::microseconds& wait)
 {
     const bool known = state.reported && now - state.reportedAt < reportLifetime;
     AgentLoad load = known ? state.load : AgentLoad {};
--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -23,8 +23,9 @@
 // Bounds the memory of flows that wait for the configuration or an agent; about 200 bytes each.
 constexpr std::size_t mostOpenings = 4096;
 
-// The part of the target latency that may be spent waiting for a slot; the rest is for the run and the way.
-constexpr double waitShareOfTarget = 0.6;
+// The part of the target latency that may be spent waiting for a slot; the rest is for the run and the way. With more,
+// flows are admitted that turn out late behind long requests (OverloadIsRefusedByExpectedWait).
+constexpr double waitShareOfTarget = 0.4;
 
 // A flow that cannot be in time any more is worth serving late, if a slot is expected free within this part of the time
 // that its caller still waits.
@@ -77,8 +78,7 @@
     }
 }
 
-bool FlowSteering::place(
-    const FlowKey& key, Opening& opening, TimePoint now, std::vector<SteeringAction>& actions)
+bool FlowSteering::place(const FlowKey& key, Opening& opening, TimePoint now, std::vector<SteeringAction>& actions)
 {
     if (!this->directory.hasRoutes()) {
         this->wait(opening, now);
@@ -89,8 +89,8 @@
         actions.emplace_back(ResetFlow { key, 0, "no_route" });
         return false;
     }
-    const auto age = ageOfCopy(opening.copies)
-        + std::chrono::duration_cast<std::chrono::milliseconds>(now - opening.firstPacket);
+    const auto age
+        = ageOfCopy(opening.copies) + std::chrono::duration_cast<std::chrono::milliseconds>(now - opening.firstPacket);
     auto urgency = FlowUrgency::InTime;
     auto limit = waitLimit(*route, urgency, age);
     auto choice = this->placement.choose(route->service, urgency, opening.tried, now);
@@ -179,7 +179,8 @@
         }
         const auto purpose = ambiguous ? SteeringPurpose::Search : SteeringPurpose::KnownFlow;
         for (const Endpoint& owner : ambiguous ? flow.opening->tried : flow.owners) {
-            actions.emplace_back(SteerPacket { owner, purpose, serviceHash(flow.service), {}, 0, FlowUrgency::InTime, 0, datagram });
+            actions.emplace_back(
+                SteerPacket { owner, purpose, serviceHash(flow.service), {}, 0, FlowUrgency::InTime, 0, datagram });
         }
         return;
     }
@@ -196,7 +197,8 @@
     flow.lastAcknowledgement = packet.acknowledgement;
     const std::uint64_t service = serviceHash(route->service);
     for (const Endpoint& agent : this->placement.agentsOf(route->service)) {
-        actions.emplace_back(SteerPacket { agent, SteeringPurpose::Search, service, {}, 0, FlowUrgency::InTime, 0, datagram });
+        actions.emplace_back(
+            SteerPacket { agent, SteeringPurpose::Search, service, {}, 0, FlowUrgency::InTime, 0, datagram });
     }
 }
 
@@ -258,8 +260,8 @@
     flow.opening.reset();
 }
 
-void FlowSteering::notOwned(const Endpoint& agent, const FlowKey& key, FlowVerdict verdict, TimePoint now,
-    std::vector<SteeringAction>& actions)
+void FlowSteering::notOwned(
+    const Endpoint& agent, const FlowKey& key, FlowVerdict verdict, TimePoint now, std::vector<SteeringAction>& actions)
 {
     const auto opening = this->openings.find(key);
     if (opening != this->openings.end()) {
@@ -271,8 +273,7 @@
         return;
     }
     const auto found = this->flows.find(key);
-    if (found == this->flows.end() || std::erase(found->second.owners, agent) == 0
-        || !found->second.owners.empty()) {
+    if (found == this->flows.end() || std::erase(found->second.owners, agent) == 0 || !found->second.owners.empty()) {
         return;
     }
     Flow& flow = found->second;
@@ -289,8 +290,8 @@
     }
 }
 
-void FlowSteering::verdict(const Endpoint& agent, const FlowKey& key, FlowVerdict verdict, TimePoint now,
-    std::vector<SteeringAction>& actions)
+void FlowSteering::verdict(
+    const Endpoint& agent, const FlowKey& key, FlowVerdict verdict, TimePoint now, std::vector<SteeringAction>& actions)
 {
     if (verdict == FlowVerdict::Admitted) {
         this->admitted(agent, key, now);
--- a/src/coordination/FlowSteering.h
+++ b/src/coordination/FlowSteering.h
@@ -30,8 +30,8 @@
     FlowSteering(const HostDirectory&, FlowPlacement&);
 
     // A caller's packet arrived. The datagram holds the packet.
-    void packet(const FlowPacket&, std::span<const std::uint8_t> datagram, TimePoint now,
-        std::vector<SteeringAction>& actions);
+    void packet(
+        const FlowPacket&, std::span<const std::uint8_t> datagram, TimePoint now, std::vector<SteeringAction>& actions);
 
     // An agent decided about a flow.
     void verdict(
@@ -71,10 +71,10 @@
 
     using Openings = std::unordered_map<FlowKey, Opening, FlowKeyHash>;
 
-    void firstPacket(const FlowPacket&, std::span<const std::uint8_t> datagram, TimePoint now,
-        std::vector<SteeringAction>& actions);
-    void laterPacket(const FlowPacket&, std::span<const std::uint8_t> datagram, TimePoint now,
-        std::vector<SteeringAction>& actions);
+    void firstPacket(
+        const FlowPacket&, std::span<const std::uint8_t> datagram, TimePoint now, std::vector<SteeringAction>& actions);
+    void laterPacket(
+        const FlowPacket&, std::span<const std::uint8_t> datagram, TimePoint now, std::vector<SteeringAction>& actions);
     // Returns whether the opening stays.
     bool place(const FlowKey&, Opening&, TimePoint now, std::vector<SteeringAction>& actions);
     void wait(Opening&, TimePoint now) const;
@@ -82,8 +82,8 @@
     void owned(const Endpoint& agent, const FlowKey&, TimePoint now);
     Flow& flowOf(const FlowKey&, TimePoint now);
     // The agent does not own the flow, or not any more.
-    void notOwned(const Endpoint& agent, const FlowKey&, FlowVerdict, TimePoint now,
-        std::vector<SteeringAction>& actions);
+    void notOwned(
+        const Endpoint& agent, const FlowKey&, FlowVerdict, TimePoint now, std::vector<SteeringAction>& actions);
     void placeOrForget(Openings::iterator, TimePoint now, std::vector<SteeringAction>& actions);
 
     const HostDirectory& directory;
--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -40,6 +40,13 @@
 // processes. A flow whose caller has gone on elsewhere must not keep a slot free for longer.
 constexpr std::chrono::milliseconds openingTimeout { 50 };
 
+// A backend server answers a first packet within 0.3 ms on its own machine; a later answer is taken all the same.
+constexpr std::chrono::milliseconds answerTimeout { 30 };
+
+// A backend server that is silent gets the next flows after this time: they show whether it is back, and cost their
+// callers answerTimeout.
+constexpr std::chrono::milliseconds silencePause { 500 };
+
 // The prediction of the wait may be short by one request.
 constexpr std::chrono::milliseconds heldSlack { 25 };
 
@@ -90,7 +97,7 @@
     load.demandPercent
         = static_cast<std::uint32_t>(std::clamp(slotSeconds / this->slots * allPercent, 0.0, mostDemandPercent));
     load.longRunning = this->flows.workingLongerThan(mean * longRequestMeans, now);
-    load.leaving = this->leaving;
+    load.leaving = this->leaving || this->isHostSilent(now);
     return load;
 }
 
@@ -122,8 +129,8 @@
         actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::Admitted, {}, {} });
         return;
     }
-    const bool isHeld = std::any_of(
-        this->held.begin(), this->held.end(), [&](const auto& item) { return item.second.flow == key; });
+    const bool isHeld
+        = std::any_of(this->held.begin(), this->held.end(), [&](const auto& item) { return item.second.flow == key; });
     if (isHeld) {
         actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::Admitted, {}, {} });
         return;
@@ -132,6 +139,10 @@
         actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::RefusedLeaving, {}, {} });
         return;
     }
+    if (this->isHostSilent(now)) {
+        actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::RefusedByBackendServer, {}, {} });
+        return;
+    }
     const AgentLoad load = this->currentLoad(now);
     const auto wait = expectedWait(load, 0, offer.urgency);
     if (offer.urgency == FlowUrgency::InTime) {
@@ -144,7 +155,8 @@
     }
     actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::Admitted, wait, {} });
     if (load.opening + load.working >= this->deliveryLimit()) {
-        this->held.emplace(HeldRank { offer.urgency, offer.priority }, HeldFlow { key, offer, now, { datagram.begin(), datagram.end() } });
+        this->held.emplace(HeldRank { offer.urgency, offer.priority },
+            HeldFlow { key, offer, now, { datagram.begin(), datagram.end() } });
         return;
     }
     this->flows.open(key, offer.balancer, now);
@@ -166,8 +178,7 @@
 }
 
 void HostAdmission::callerPacket(const Endpoint& balancer, std::uint64_t flowService, bool search,
-    const FlowPacket& packet, std::span<const std::uint8_t> datagram, TimePoint now,
-    std::vector<AgentAction>& actions)
+    const FlowPacket& packet, std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions)
 {
     const FlowKey key = packet.keyFromCaller();
     if (flowService != this->service) {
@@ -180,8 +191,7 @@
         return;
     }
     const bool unopened = flow->phase == HostFlowPhase::Opening || flow->phase == HostFlowPhase::Stalled;
-    if (unopened && packet.acknowledges
-        && (!flow->hostAnswered || packet.acknowledgement != flow->hostSequence + 1)) {
+    if (unopened && packet.acknowledges && (!flow->hostAnswered || packet.acknowledgement != flow->hostSequence + 1)) {
         // The caller took another backend server's answer to its first packet.
         this->flows.erase(key);
         if (!search) {
@@ -248,14 +258,15 @@
     }
     const Endpoint balancer = flow->balancer;
     this->flows.erase(key);
-    actions.emplace_back(SendVerdict { balancer, key,
-        packet.isFirst() ? FlowVerdict::RefusedByBackendServer : FlowVerdict::Lost, {}, {} });
+    actions.emplace_back(SendVerdict {
+        balancer, key, packet.isFirst() ? FlowVerdict::RefusedByBackendServer : FlowVerdict::Lost, {}, {} });
     this->deliverHeld(now, actions);
 }
 
-void HostAdmission::hostPacket(const FlowPacket& packet, std::span<const std::uint8_t> datagram, TimePoint now,
-    std::vector<AgentAction>& actions)
+void HostAdmission::hostPacket(
+    const FlowPacket& packet, std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions)
 {
+    this->hostSilentUntil = TimePoint();
     if (packet.returned) {
         this->returnedPacket(packet, now, actions);
         return;
@@ -311,9 +322,28 @@
     this->held.clear();
 }
 
+void HostAdmission::refuseUnanswered(TimePoint now, std::vector<AgentAction>& actions)
+{
+    for (const FlowKey& key : this->flows.unanswered(answerTimeout, now)) {
+        actions.emplace_back(
+            SendVerdict { this->flows.find(key)->balancer, key, FlowVerdict::RefusedByBackendServer, {}, {} });
+        this->flows.erase(key);
+        this->hostSilentUntil = now + silencePause;
+    }
+    if (!this->isHostSilent(now)) {
+        return;
+    }
+    for (const auto& [rank, flow] : this->held) {
+        actions.emplace_back(
+            SendVerdict { flow.offer.balancer, flow.flow, FlowVerdict::RefusedByBackendServer, {}, {} });
+    }
+    this->held.clear();
+}
+
 void HostAdmission::tick(TimePoint now, std::vector<AgentAction>& actions)
 {
     this->delivered.clear();
+    this->refuseUnanswered(now, actions);
     this->flows.stall(openingTimeout, now);
     this->deliverHeld(now, actions);
     for (auto item = this->held.begin(); item != this->held.end();) {
--- a/src/coordination/HostAdmission.h
+++ b/src/coordination/HostAdmission.h
@@ -61,6 +61,9 @@
 
     AgentLoad currentLoad(TimePoint now) const;
 
+    // Whether the backend server has lately left first packets without an answer.
+    bool isHostSilent(TimePoint now) const { return now < this->hostSilentUntil; }
+
     // The load with the next sequence number.
     AgentLoad load(TimePoint now);
 
@@ -90,10 +93,11 @@
     };
 
     std::uint32_t deliveryLimit() const;
+    void refuseUnanswered(TimePoint now, std::vector<AgentAction>& actions);
     void deliverHeld(TimePoint now, std::vector<AgentAction>& actions);
     void returnedPacket(const FlowPacket&, TimePoint now, std::vector<AgentAction>& actions);
-    void unknownFlow(const Endpoint& balancer, bool search, const FlowPacket&,
-        std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions);
+    void unknownFlow(const Endpoint& balancer, bool search, const FlowPacket&, std::span<const std::uint8_t> datagram,
+        TimePoint now, std::vector<AgentAction>& actions);
     void answerBegins(HostFlow&, TimePoint now);
     void reportAnswer(HostFlow&, const FlowKey&, const FlowPacket&, TimePoint now, std::vector<AgentAction>& actions);
     std::uint32_t heldLate() const;
@@ -115,6 +119,7 @@
     TimePoint demandAt;
     std::vector<HeldFlow> delivered; // keeps the datagrams of the last actions
     std::unordered_map<FlowKey, Trial, FlowKeyHash> trials;
+    TimePoint hostSilentUntil;
     TimePoint nextSweep;
 };
 
--- a/src/state/HostFlows.cpp
+++ b/src/state/HostFlows.cpp
@@ -67,6 +67,20 @@
     }));
 }
 
+std::vector<FlowKey> HostFlows::unanswered(std::chrono::milliseconds limit, TimePoint now) const
+{
+    std::vector<FlowKey> keys;
+    if (this->opening() == 0) {
+        return keys;
+    }
+    for (const auto& [key, flow] : this->flows) {
+        if (flow.phase == HostFlowPhase::Opening && !flow.hostAnswered && now - flow.phaseSince > limit) {
+            keys.push_back(key);
+        }
+    }
+    return keys;
+}
+
 void HostFlows::stall(std::chrono::milliseconds limit, TimePoint now)
 {
     if (this->opening() == 0) {
--- a/src/state/HostFlows.h
+++ b/src/state/HostFlows.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace chicoryferry {
 
@@ -53,6 +54,9 @@
     // Marks opening flows as stalled whose caller has not gone on within the limit after the backend server's answer.
     void stall(std::chrono::milliseconds limit, TimePoint now);
 
+    // Opening flows that the backend server has not answered within the limit.
+    std::vector<FlowKey> unanswered(std::chrono::milliseconds limit, TimePoint now) const;
+
     // Forgets flows that ended, that never opened, and that were idle for longer than the limit.
     void expire(std::chrono::milliseconds idleLimit, TimePoint now);
 
--- a/src/state/PeerBalancers.cpp
+++ b/src/state/PeerBalancers.cpp
@@ -43,8 +43,7 @@
     }
     Peer& peer = this->peers[address];
     // Datagrams may arrive late: within one lifetime the revision only rises.
-    const bool older = peer.everHeard && peer.state.lifetime == state.lifetime
-        && state.revision < peer.state.revision;
+    const bool older = peer.everHeard && peer.state.lifetime == state.lifetime && state.revision < peer.state.revision;
     if (!older) {
         peer.state = state;
     }
@@ -71,9 +70,8 @@
 
 std::vector<Endpoint> PeerBalancers::peersToGreet(TimePoint now)
 {
-    std::erase_if(this->peers, [&](const auto& item) {
-        return now - std::max(item.second.lastHeard, item.second.learnedAt) > peerLifetime;
-    });
+    std::erase_if(this->peers,
+        [&](const auto& item) { return now - std::max(item.second.lastHeard, item.second.learnedAt) > peerLifetime; });
     std::vector<Endpoint> addresses;
     for (const auto& [address, peer] : this->peers) {
         addresses.push_back(address);
--- a/src/transport/EventLoop.cpp
+++ b/src/transport/EventLoop.cpp
@@ -47,8 +47,8 @@
 
 void EventLoop::wait(std::chrono::milliseconds timeout)
 {
-    this->pendingCount = epoll_wait(this->epollDescriptor, this->pending.data(),
-        static_cast<int>(this->pending.size()), static_cast<int>(timeout.count()));
+    this->pendingCount = epoll_wait(this->epollDescriptor, this->pending.data(), static_cast<int>(this->pending.size()),
+        static_cast<int>(timeout.count()));
 }
 
 void EventLoop::dispatch()
--- a/src/transport/SignalWatch.h
+++ b/src/transport/SignalWatch.h
@@ -2,8 +2,8 @@
 
 namespace chicoryferry {
 
-// Turns SIGTERM, SIGINT (stop) and SIGHUP (reload) into a readable descriptor. Construct it before any thread starts, because threads inherit
-// the signal mask. SIGPIPE is ignored: writes report EPIPE instead.
+// Turns SIGTERM, SIGINT (stop) and SIGHUP (reload) into a readable descriptor. Construct it before any thread starts,
+// because threads inherit the signal mask. SIGPIPE is ignored: writes report EPIPE instead.
 class SignalWatch {
 public:
     // What has been asked for since the last consume().
--- /dev/null
+++ b/test/unit/DirectoryNeverGoesBack.cpp
@@ -0,0 +1,106 @@
+#include "state/HostDirectory.h"
+
+#include <doctest/doctest.h>
+
+using namespace chicoryferry;
+using std::chrono::milliseconds;
+
+namespace {
+
+const HostDirectory::TimePoint start { std::chrono::hours(1) };
+
+RouteTableWritten routes(std::uint64_t version, const std::string& service)
+{
+    RouteTable table;
+    table.version = version;
+    table.routes[{ 1, 443 }].service = service;
+    return { table };
+}
+
+HostEntry host(const std::string& id, std::uint32_t address, std::int64_t startedAt = 1)
+{
+    return { id, "job", { address, 8080 }, "zone", 2, false, {}, startedAt };
+}
+
+}
+
+// Guards against a configuration that goes back when the store or a peer answers with old state.
+TEST_CASE("an older configuration is refused and the one in force stays")
+{
+    HostDirectory directory;
+    CHECK(directory.apply(routes(7, "job"), start) == HostDirectory::Effect::RoutesChanged);
+    CHECK(directory.apply(routes(6, "drawing"), start) == HostDirectory::Effect::RefusedOlder);
+    CHECK(directory.apply(routes(7, "drawing"), start) == HostDirectory::Effect::RefusedOlder);
+    CHECK(directory.routes().version == 7);
+    CHECK(directory.route({ 1, 443 })->service == "job");
+    CHECK(directory.route({ 1, 444 }) == nullptr);
+}
+
+// Guards against hosts that are dropped while the store is away and their entries lapse.
+TEST_CASE("a host whose entry lapses stays in use until it is overdue after 2.2 s")
+{
+    HostDirectory directory;
+    directory.apply(HostWritten { host("a", 1) }, start);
+    CHECK(directory.apply(HostRemoved { "a", false }, start) == HostDirectory::Effect::None);
+    CHECK_FALSE(directory.expire(start + milliseconds(2100)));
+    CHECK(directory.hosts().size() == 1);
+    SUBCASE("it writes its entry again")
+    {
+        directory.apply(HostWritten { host("a", 1) }, start + milliseconds(2000));
+        CHECK_FALSE(directory.expire(start + milliseconds(5000)));
+    }
+    SUBCASE("it does not")
+    {
+        CHECK(directory.expire(start + milliseconds(2200)));
+        CHECK(directory.hosts().empty());
+    }
+}
+
+// Guards against new flows for a host that has left as planned.
+TEST_CASE("a draining host is removed with its entry")
+{
+    HostDirectory directory;
+    HostEntry entry = host("a", 1);
+    entry.draining = true;
+    directory.apply(HostWritten { entry }, start);
+    CHECK(directory.apply(HostRemoved { "a", false }, start) == HostDirectory::Effect::HostsChanged);
+    CHECK(directory.hosts().empty());
+}
+
+// Guards against an address that is used again: its former owner's entry must not name a host.
+TEST_CASE("of several entries with one address the newest lifetime counts")
+{
+    HostDirectory directory;
+    directory.apply(HostWritten { host("old", 1, 100) }, start);
+    HostEntry next = host("new", 1, 200);
+    next.service = "drawing";
+    directory.apply(HostWritten { next }, start);
+    REQUIRE(directory.hosts().size() == 1);
+    CHECK(directory.hosts().front()->entry.service == "drawing");
+    // The entry of the earlier lifetime under a reused id arrives late.
+    CHECK(directory.apply(HostWritten { host("new", 1, 50) }, start) == HostDirectory::Effect::RefusedOlder);
+}
+
+// Guards against hosts that a listing does not contain any more.
+TEST_CASE("a host that is missing in a listing is overdue after the same time")
+{
+    HostDirectory directory;
+    directory.apply(HostWritten { host("a", 1) }, start);
+    directory.apply(HostWritten { host("b", 2) }, start);
+    directory.beginListing();
+    directory.apply(HostWritten { host("b", 2) }, start);
+    directory.endListing(start);
+    CHECK(directory.hosts().size() == 2);
+    CHECK(directory.expire(start + HostDirectory::returnGrace));
+    REQUIRE(directory.hosts().size() == 1);
+    CHECK(directory.hosts().front()->entry.id == "b");
+}
+
+// Guards against an entry of another writer that would hide others.
+TEST_CASE("a malformed entry names no host and is reported")
+{
+    HostDirectory directory;
+    directory.apply(HostWritten { host("a", 1) }, start);
+    CHECK(directory.apply(HostRemoved { "x", true }, start) == HostDirectory::Effect::RefusedMalformed);
+    CHECK(directory.hosts().size() == 1);
+}
--- /dev/null
+++ b/test/unit/FleetSimulation.cpp
@@ -0,0 +1,536 @@
+#include "FleetSimulation.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace chicoryferry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const std::string serviceName = "job";
+const Endpoint serviceAddress { 0xC6120001, 443 };
+constexpr std::uint32_t firstHostAddress = 0x0A000001;
+constexpr std::uint32_t firstBalancerAddress = 0x0A010001;
+constexpr std::uint16_t peerPort = 7000;
+
+constexpr milliseconds firstCopy { 200 };
+constexpr milliseconds secondCopy { 600 };
+constexpr milliseconds tryLimit { 1400 };
+constexpr milliseconds tickInterval { 5 };
+constexpr milliseconds helloInterval { 250 };
+
+constexpr std::uint32_t requestMark = 1; // payload of one byte: a request or an answer
+constexpr std::array<std::uint8_t, 1> payloadByte { requestMark };
+
+RequestMarks noMarks(std::span<const std::uint8_t>) { return {}; }
+
+}
+
+struct FleetSimulation::Event {
+    TimePoint when;
+    std::uint64_t order;
+    std::function<void()> action;
+
+    bool operator<(const Event& other) const
+    {
+        return this->when != other.when ? this->when > other.when : this->order > other.order;
+    }
+};
+
+struct FleetSimulation::Caller {
+    std::size_t request { 0 };
+    int tryNumber { 0 };
+    bool open { false };
+    bool done { false };
+    std::uint32_t hostSequence { 0 };
+};
+
+struct FleetSimulation::Host {
+    std::unique_ptr<HostAdmission> admission;
+    std::vector<AgentAction> actions;
+    std::map<FlowKey, std::uint32_t> flows; // with the host's sequence number
+    std::deque<FlowKey> queue;
+    std::uint32_t running { 0 };
+    bool silent { false };
+    bool crashed { false };
+    std::map<Endpoint, std::vector<std::pair<FlowKey, FlowVerdict>>> verdicts;
+};
+
+struct FleetSimulation::Balancer {
+    std::unique_ptr<HostDirectory> directory;
+    std::unique_ptr<FlowPlacement> placement;
+    std::unique_ptr<FlowSteering> steering;
+    std::vector<SteeringAction> actions;
+    bool lost { false };
+    bool frozen { false };
+    std::vector<FlowPacket> waiting;
+};
+
+FleetSimulation::FleetSimulation(const Options& simulationOptions)
+    : options(simulationOptions)
+    , random(simulationOptions.seed)
+    , start(TimePoint(std::chrono::hours(1)))
+    , now(this->start)
+    , hosts(simulationOptions.hosts)
+    , balancers(simulationOptions.balancers)
+{
+    for (std::size_t index = 0; index < this->hosts.size(); ++index) {
+        this->resetHost(index);
+    }
+    for (std::size_t index = 0; index < this->balancers.size(); ++index) {
+        this->resetBalancer(index);
+    }
+}
+
+FleetSimulation::~FleetSimulation() = default;
+
+void FleetSimulation::resetHost(std::size_t index)
+{
+    Host host;
+    host.admission = std::make_unique<HostAdmission>(
+        this->random(), serviceHash(serviceName), noMarks, noMarks, this->now - std::chrono::hours(1));
+    host.silent = this->hosts[index].silent;
+    host.crashed = this->hosts[index].crashed;
+    this->hosts[index] = std::move(host);
+}
+
+void FleetSimulation::resetBalancer(std::size_t index)
+{
+    Balancer balancer;
+    balancer.lost = this->balancers[index].lost;
+    balancer.directory = std::make_unique<HostDirectory>();
+    balancer.placement = std::make_unique<FlowPlacement>("zone", this->random());
+    RouteTable table;
+    table.version = 1;
+    table.routes[serviceAddress]
+        = { serviceName, true, std::chrono::duration_cast<milliseconds>(this->options.targetLatency),
+              std::chrono::duration_cast<milliseconds>(this->options.budget), 1 };
+    balancer.directory->apply(RouteTableWritten { table }, this->now);
+    std::vector<FlowPlacement::Agent> agents;
+    for (std::size_t host = 0; host < this->hosts.size(); ++host) {
+        const Endpoint address { firstHostAddress + static_cast<std::uint32_t>(host), peerPort };
+        agents.push_back({ address,
+            { "host-" + std::to_string(host), serviceName, address, "zone", this->options.slots, false, {}, 0 },
+            this->now });
+    }
+    balancer.placement->setAgents(agents, this->now);
+    balancer.steering = std::make_unique<FlowSteering>(*balancer.directory, *balancer.placement);
+    this->balancers[index] = std::move(balancer);
+}
+
+void FleetSimulation::schedule(TimePoint when, std::function<void()> action)
+{
+    this->events.push({ when, this->eventCount++, std::move(action) });
+}
+
+void FleetSimulation::at(Duration when, std::function<void()> action)
+{
+    this->schedule(this->start + when, std::move(action));
+}
+
+void FleetSimulation::load(double perSecond, Duration from, Duration to)
+{
+    std::exponential_distribution<double> gap(perSecond);
+    double seconds = std::chrono::duration<double>(from).count();
+    for (;;) {
+        seconds += gap(this->random);
+        const auto when = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+        if (when >= to) {
+            return;
+        }
+        this->at(when, [this] { this->startRequest(); });
+    }
+}
+
+FleetSimulation::Duration FleetSimulation::drawWork()
+{
+    const double mean = static_cast<double>(this->options.meanWork.count());
+    std::uniform_real_distribution<double> spread(0.5, 1.5);
+    const bool isLong = std::bernoulli_distribution(this->options.longShare)(this->random);
+    return Duration(static_cast<std::int64_t>(mean * spread(this->random) * (isLong ? this->options.longFactor : 1)));
+}
+
+double FleetSimulation::capacity() const
+{
+    const double mean = std::chrono::duration<double>(this->options.meanWork).count()
+        * (1 + this->options.longShare * (this->options.longFactor - 1));
+    return static_cast<double>(this->options.slots * this->hosts.size()) / mean;
+}
+
+std::span<const std::uint8_t> FleetSimulation::store(const FlowPacket& packet)
+{
+    this->packets.push_back(packet);
+    const std::uint64_t index = this->packets.size() - 1;
+    std::array<std::uint8_t, 8> bytes {};
+    std::memcpy(bytes.data(), &index, sizeof(index));
+    return this->datagrams.emplace_back(bytes);
+}
+
+const FlowPacket& FleetSimulation::stored(std::span<const std::uint8_t> datagram) const
+{
+    std::uint64_t index = 0;
+    std::memcpy(&index, datagram.data(), sizeof(index));
+    return this->packets[index];
+}
+
+void FleetSimulation::startRequest()
+{
+    this->results.push_back({ this->now, {}, false, false, 0, {} });
+    this->startTry(this->results.size() - 1);
+}
+
+void FleetSimulation::startTry(std::size_t request)
+{
+    const FlowKey key { { 0x64400000 + (this->nextPort >> 15U),
+                            static_cast<std::uint16_t>(1024 + this->nextPort % 32768) },
+        serviceAddress };
+    ++this->nextPort;
+    Caller& caller = this->callers[key];
+    caller.request = request;
+    FlowPacket first;
+    first.source = key.caller;
+    first.destination = key.service;
+    first.opens = true;
+    for (const auto& [copy, delay] :
+        { std::pair { 0U, milliseconds(0) }, std::pair { 1U, firstCopy }, std::pair { 2U, secondCopy } }) {
+        first.acknowledgement = copy;
+        this->schedule(this->now + delay + this->options.toCaller, [this, key, first] {
+            const Caller& waiting = this->callers[key];
+            const Outcome& outcome = this->results[waiting.request];
+            const bool inBudget = this->now - outcome.start < this->options.budget;
+            if (!waiting.open && !waiting.done && inBudget) {
+                this->sendToBalancer(first);
+            }
+        });
+    }
+    this->schedule(this->now + tryLimit, [this, key] {
+        Caller& waiting = this->callers[key];
+        waiting.done = waiting.done || !waiting.open;
+    });
+}
+
+void FleetSimulation::sendToBalancer(const FlowPacket& packet)
+{
+    if (this->isDown()) {
+        return;
+    }
+    std::size_t index = (packet.source.port * 7919U) % this->balancers.size();
+    while (this->balancers[index].lost) {
+        index = (index + 1) % this->balancers.size();
+    }
+    if (this->balancers[index].frozen) {
+        this->balancers[index].waiting.push_back(packet);
+        return;
+    }
+    this->takeAtBalancer(index, packet);
+}
+
+void FleetSimulation::takeAtBalancer(std::size_t index, const FlowPacket& packet)
+{
+    Balancer& balancer = this->balancers[index];
+    balancer.steering->packet(packet, this->store(packet), this->now, balancer.actions);
+    this->performBalancer(index);
+}
+
+void FleetSimulation::performBalancer(std::size_t index)
+{
+    Balancer& balancer = this->balancers[index];
+    const Endpoint own { firstBalancerAddress + static_cast<std::uint32_t>(index), peerPort };
+    const std::uint64_t sentIn = this->epoch;
+    for (const SteeringAction& action : balancer.actions) {
+        if (const auto* reset = std::get_if<ResetFlow>(&action)) {
+            FlowPacket packet;
+            packet.source = reset->flow.service;
+            packet.destination = reset->flow.caller;
+            packet.resets = true;
+            this->schedule(this->now + this->options.toCaller, [this, packet] { this->takeAtCaller(packet); });
+            continue;
+        }
+        const auto& steer = std::get<SteerPacket>(action);
+        const FlowPacket packet = this->stored(steer.datagram);
+        const std::size_t host = steer.agent.address - firstHostAddress;
+        this->schedule(this->now + this->options.toPeer, [this, host, steer, packet, own, sentIn] {
+            if (sentIn != this->epoch || this->hosts[host].silent) {
+                return;
+            }
+            Host& target = this->hosts[host];
+            const auto datagram = this->store(packet);
+            if (steer.purpose == SteeringPurpose::NewFlow) {
+                target.admission->newFlow({ own, steer.waitLimit, steer.priority, steer.urgency, steer.slots },
+                    steer.service, packet, datagram, this->now, target.actions);
+            } else {
+                target.admission->callerPacket(own, steer.service, steer.purpose == SteeringPurpose::Search, packet,
+                    datagram, this->now, target.actions);
+            }
+            this->performAgent(host);
+        });
+    }
+    balancer.actions.clear();
+}
+
+void FleetSimulation::performAgent(std::size_t index)
+{
+    Host& host = this->hosts[index];
+    const auto actions = std::move(host.actions);
+    host.actions.clear();
+    for (const AgentAction& action : actions) {
+        if (const auto* delivery = std::get_if<DeliverToBackendServer>(&action)) {
+            this->deliverToHost(index, this->stored(delivery->datagram));
+        } else if (const auto* answer = std::get_if<DeliverToCaller>(&action)) {
+            const FlowPacket packet = this->stored(answer->datagram);
+            this->schedule(this->now + this->options.toCaller, [this, packet] { this->takeAtCaller(packet); });
+        } else if (const auto* verdict = std::get_if<SendVerdict>(&action)) {
+            host.verdicts[verdict->balancer].emplace_back(verdict->flow, verdict->verdict);
+        }
+    }
+    this->report(index);
+}
+
+void FleetSimulation::report(std::size_t index)
+{
+    Host& host = this->hosts[index];
+    const Endpoint own { firstHostAddress + static_cast<std::uint32_t>(index), peerPort };
+    const AgentLoad load = host.admission->load(this->now);
+    const std::uint64_t sentIn = this->epoch;
+    for (std::size_t balancer = 0; balancer < this->balancers.size(); ++balancer) {
+        const Endpoint address { firstBalancerAddress + static_cast<std::uint32_t>(balancer), peerPort };
+        auto verdicts = std::move(host.verdicts[address]);
+        host.verdicts[address].clear();
+        this->schedule(this->now + this->options.toPeer, [this, balancer, own, load, verdicts, sentIn] {
+            Balancer& target = this->balancers[balancer];
+            if (sentIn != this->epoch || target.lost || target.frozen) {
+                return;
+            }
+            target.placement->report(own, load, this->now);
+            for (const auto& [flow, verdict] : verdicts) {
+                target.steering->verdict(own, flow, verdict, this->now, target.actions);
+            }
+            this->performBalancer(balancer);
+        });
+    }
+}
+
+void FleetSimulation::deliverToHost(std::size_t index, const FlowPacket& packet)
+{
+    Host& host = this->hosts[index];
+    const FlowKey key = packet.keyFromCaller();
+    if (packet.isFirst()) {
+        const auto [flow, added] = host.flows.try_emplace(key, static_cast<std::uint32_t>(this->random()));
+        FlowPacket answer;
+        answer.source = key.service;
+        answer.destination = key.caller;
+        answer.opens = true;
+        answer.acknowledges = true;
+        answer.sequence = flow->second;
+        this->sendFromHost(index, answer);
+        return;
+    }
+    if (!host.flows.contains(key)) {
+        FlowPacket back = packet;
+        back.returned = true;
+        this->sendFromHost(index, back);
+        return;
+    }
+    if (!packet.payload.empty()) {
+        host.queue.push_back(key);
+        this->beginWork(index);
+    }
+    if (packet.finishes) {
+        host.flows.erase(key);
+    }
+}
+
+void FleetSimulation::beginWork(std::size_t index)
+{
+    Host& host = this->hosts[index];
+    while (host.running < this->options.slots && !host.queue.empty()) {
+        const FlowKey key = host.queue.front();
+        host.queue.pop_front();
+        ++host.running;
+        const std::uint64_t begunIn = this->epoch;
+        Outcome& outcome = this->results[this->callers[key].request];
+        ++outcome.runs;
+        outcome.work = this->drawWork();
+        this->schedule(this->now + outcome.work, [this, index, key, begunIn] {
+            if (begunIn != this->epoch) {
+                return;
+            }
+            --this->hosts[index].running;
+            FlowPacket answer;
+            answer.source = key.service;
+            answer.destination = key.caller;
+            answer.payload = payloadByte;
+            answer.finishes = true;
+            this->sendFromHost(index, answer);
+            this->beginWork(index);
+        });
+    }
+}
+
+void FleetSimulation::sendFromHost(std::size_t index, const FlowPacket& packet)
+{
+    Host& host = this->hosts[index];
+    if (host.silent || host.crashed || this->isDown()) {
+        return;
+    }
+    const std::uint64_t sentIn = this->epoch;
+    this->schedule(this->now, [this, index, packet, sentIn] {
+        if (sentIn != this->epoch) {
+            return;
+        }
+        Host& source = this->hosts[index];
+        source.admission->hostPacket(packet, this->store(packet), this->now, source.actions);
+        this->performAgent(index);
+    });
+}
+
+void FleetSimulation::takeAtCaller(const FlowPacket& packet)
+{
+    const auto found = this->callers.find(packet.keyFromBackendServer());
+    if (found == this->callers.end() || found->second.done) {
+        return;
+    }
+    Caller& caller = found->second;
+    Outcome& outcome = this->results[caller.request];
+    const bool inBudget = this->now - outcome.start < this->options.budget;
+    if (packet.resets) {
+        caller.done = true;
+        this->openResets += caller.open ? 1 : 0;
+        ++caller.tryNumber;
+        outcome.end = this->now;
+        outcome.refused = true;
+        const std::size_t request = caller.request;
+        const auto tries = std::count_if(this->callers.begin(), this->callers.end(),
+            [&](const auto& item) { return item.second.request == request && item.second.done; });
+        if (inBudget && tries < this->options.tries) {
+            this->startTry(request);
+        }
+        return;
+    }
+    FlowPacket next;
+    next.source = packet.destination;
+    next.destination = packet.source;
+    next.acknowledges = true;
+    if (packet.opens && !caller.open) {
+        caller.open = true;
+        caller.hostSequence = packet.sequence;
+        next.acknowledgement = packet.sequence + 1;
+        next.payload = payloadByte;
+        this->schedule(this->now + this->options.toCaller, [this, next] { this->sendToBalancer(next); });
+    } else if (!packet.payload.empty()) {
+        caller.done = true;
+        outcome.end = this->now;
+        outcome.served = inBudget;
+        outcome.refused = false;
+        next.finishes = true;
+        this->schedule(this->now + this->options.toCaller, [this, next] { this->sendToBalancer(next); });
+    }
+}
+
+void FleetSimulation::tick()
+{
+    if (!this->isDown()) {
+        for (std::size_t index = 0; index < this->hosts.size(); ++index) {
+            if (!this->hosts[index].silent) {
+                this->hosts[index].admission->tick(this->now, this->hosts[index].actions);
+                this->performAgent(index);
+            }
+        }
+        for (std::size_t index = 0; index < this->balancers.size(); ++index) {
+            if (!this->balancers[index].lost && !this->balancers[index].frozen) {
+                this->balancers[index].steering->tick(this->now, this->balancers[index].actions);
+                this->performBalancer(index);
+            }
+        }
+    }
+    this->schedule(this->now + tickInterval, [this] { this->tick(); });
+}
+
+void FleetSimulation::loseBalancer(std::size_t index)
+{
+    this->balancers[index].lost = true;
+    this->resetBalancer(index);
+}
+
+void FleetSimulation::freezeBalancer(std::size_t index) { this->balancers[index].frozen = true; }
+
+void FleetSimulation::resumeBalancer(std::size_t index)
+{
+    Balancer& balancer = this->balancers[index];
+    balancer.frozen = false;
+    const auto waiting = std::move(balancer.waiting);
+    balancer.waiting.clear();
+    for (const FlowPacket& packet : waiting) {
+        this->takeAtBalancer(index, packet);
+    }
+}
+
+void FleetSimulation::silenceHost(std::size_t index) { this->hosts[index].silent = true; }
+
+void FleetSimulation::crashBackendServer(std::size_t index) { this->hosts[index].crashed = true; }
+
+void FleetSimulation::loseEverything(Duration back)
+{
+    this->downUntil = this->start + back;
+    ++this->epoch;
+    for (std::size_t index = 0; index < this->hosts.size(); ++index) {
+        this->resetHost(index);
+    }
+    for (std::size_t index = 0; index < this->balancers.size(); ++index) {
+        this->resetBalancer(index);
+    }
+}
+
+void FleetSimulation::run(Duration length)
+{
+    this->schedule(this->now, [this] { this->tick(); });
+    while (!this->events.empty() && this->events.top().when <= this->start + length) {
+        const Event event = this->events.top();
+        this->events.pop();
+        this->now = event.when;
+        event.action();
+    }
+}
+
+double FleetSimulation::shareInTime(Duration from, Duration to) const
+{
+    std::size_t all = 0;
+    std::size_t inTime = 0;
+    for (const Outcome& outcome : this->results) {
+        if (outcome.start >= this->start + from && outcome.start < this->start + to) {
+            ++all;
+            inTime += outcome.served && outcome.end - outcome.start <= this->options.targetLatency ? 1U : 0U;
+        }
+    }
+    return all == 0 ? 0 : static_cast<double>(inTime) / static_cast<double>(all);
+}
+
+double FleetSimulation::shareThatFits() const
+{
+    // Two ways to the caller for the handshake and two for the request, each with a way between balancer and agent.
+    const Duration ways = 4 * this->options.toCaller + 2 * this->options.toPeer;
+    std::size_t ran = 0;
+    std::size_t fits = 0;
+    for (const Outcome& outcome : this->results) {
+        ran += outcome.runs > 0 ? 1U : 0U;
+        fits += outcome.runs > 0 && outcome.work + ways <= this->options.targetLatency ? 1U : 0U;
+    }
+    return ran == 0 ? 0 : static_cast<double>(fits) / static_cast<double>(ran);
+}
+
+double FleetSimulation::shareServed(Duration from, Duration to) const
+{
+    std::size_t all = 0;
+    std::size_t served = 0;
+    for (const Outcome& outcome : this->results) {
+        if (outcome.start >= this->start + from && outcome.start < this->start + to) {
+            ++all;
+            served += outcome.served ? 1U : 0U;
+        }
+    }
+    return all == 0 ? 0 : static_cast<double>(served) / static_cast<double>(all);
+}
+
+}
--- /dev/null
+++ b/test/unit/OverloadIsRefusedByExpectedWait.cpp
@@ -0,0 +1,49 @@
+#include "FleetSimulation.h"
+
+#include <doctest/doctest.h>
+
+using namespace chicoryferry;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Load: 2.5 times what the slots can serve for 4 s. Guards against queues at the backend servers, with which every
+// request is late, and against slots that stand idle because of early refusals.
+TEST_CASE("in overload the slots serve requests in time, and the rest is refused soon")
+{
+    constexpr std::uint64_t seeds = 4;
+    double servedInTime = 0;
+    std::size_t refused = 0;
+    std::size_t refusedLate = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        FleetSimulation::Options options;
+        options.seed = seed;
+        FleetSimulation simulation(options);
+        simulation.load(2.5 * simulation.capacity(), seconds(1), seconds(5));
+        simulation.run(seconds(8));
+        servedInTime
+            += simulation.shareInTime(milliseconds(1500), seconds(5)) * 2.5 / simulation.shareThatFits() / seeds;
+        for (const auto& outcome : simulation.outcomes()) {
+            if (outcome.refused) {
+                ++refused;
+                refusedLate += outcome.end - outcome.start > milliseconds(50) ? 1U : 0U;
+                CHECK(outcome.runs == 0);
+            }
+        }
+    }
+    // Of what the slots can serve in time.
+    CHECK(servedInTime >= 0.95);
+    REQUIRE(refused > 0);
+    CHECK(static_cast<double>(refusedLate) / static_cast<double>(refused) <= 0.05);
+}
+
+// Load: everything is lost for 0.7 s at moderate load, and the callers come back at once. Guards against early refusals
+// with which callers spend their tries within milliseconds although slots are free half a second later.
+TEST_CASE("after a loss of everything callers are served late rather than refused")
+{
+    FleetSimulation simulation({});
+    simulation.load(0.4 * simulation.capacity(), seconds(0), seconds(6));
+    simulation.at(seconds(2), [&] { simulation.loseEverything(milliseconds(2700)); });
+    simulation.run(seconds(8));
+    CHECK(simulation.shareServed(milliseconds(2100), milliseconds(2700)) >= 0.95);
+    CHECK(simulation.shareInTime(milliseconds(3200), seconds(6)) >= 0.97);
+}
--- /dev/null
+++ b/test/unit/PeersReplaceTheStore.cpp
@@ -0,0 +1,90 @@
+#include "app/DirectorySnapshot.h"
+#include "state/HostDirectory.h"
+#include "state/PeerBalancers.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace chicoryferry;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const PeerBalancers::TimePoint start { std::chrono::hours(1) };
+
+Endpoint balancer(std::uint32_t number) { return { 0x0A000000 + number, 7720 }; }
+
+}
+
+// Guards against a process that the store turns away and that knows nobody (msasani-cut, trouble-3).
+TEST_CASE("seeds are greeted until they answer, and learned addresses as well")
+{
+    PeerBalancers peers(balancer(1));
+    peers.setSeeds({ balancer(1), balancer(2) });
+    CHECK(peers.peersToGreet(start) == std::vector { balancer(2) });
+    const std::vector learned { balancer(1), balancer(3) };
+    peers.learn(learned, start);
+    CHECK(peers.peersToGreet(start).size() == 2);
+    // An address that never answers is forgotten; the seed stays.
+    CHECK(peers.peersToGreet(start + seconds(30)) == std::vector { balancer(2) });
+}
+
+// Guards against state that goes back: only a peer that knows more is asked, and a late datagram changes nothing.
+TEST_CASE("state is taken from the live peer that knows the most")
+{
+    PeerBalancers peers(balancer(1));
+    peers.heard(balancer(2), { 1, 50, true }, start);
+    peers.heard(balancer(3), { 1, 60, true }, start);
+    peers.heard(balancer(3), { 1, 40, true }, start);
+    CHECK(peers.newerPeer(45, start) == balancer(3));
+    CHECK_FALSE(peers.newerPeer(60, start));
+    peers.fetchFailed(balancer(3), start);
+    CHECK(peers.newerPeer(45, start) == balancer(2));
+    CHECK_FALSE(peers.newerPeer(45, start + seconds(2)));
+}
+
+// Guards against store calls that grow with the fleet, and against a fleet without any reader.
+TEST_CASE("three of many balancers read the store, and others take over from silent or failing ones")
+{
+    constexpr std::uint32_t count = 21;
+    const auto readersAt = [&](PeerBalancers::TimePoint now, const std::vector<std::uint32_t>& failing) {
+        std::vector<std::uint32_t> readers;
+        for (std::uint32_t self = 0; self < count; ++self) {
+            PeerBalancers peers(balancer(self));
+            for (std::uint32_t other = 0; other < count; ++other) {
+                const bool fails = std::find(failing.begin(), failing.end(), other) != failing.end();
+                peers.heard(balancer(other), { 1, 1, !fails }, start);
+            }
+            if (peers.isReader(now)) {
+                readers.push_back(self);
+            }
+        }
+        return readers;
+    };
+    const auto readers = readersAt(start, {});
+    CHECK(readers.size() == PeerBalancers::readers);
+    const auto after = readersAt(start, readers);
+    CHECK(after.size() == 2 * PeerBalancers::readers); // the failing ones go on trying
+    CHECK(readersAt(start + seconds(2), {}).size() == count); // nobody is heard of
+}
+
+// Guards against fields that are lost on the way to a peer.
+TEST_CASE("a snapshot carries the whole directory")
+{
+    HostDirectory directory;
+    RouteTable table;
+    table.version = 9;
+    table.routes[{ 1, 443 }] = { "job", true, milliseconds(100), milliseconds(1000), 2 };
+    directory.apply(RouteTableWritten { table }, start);
+    const HostEntry entry { "i-1", "job", { 5, 8080 }, "zone", 3, true, {}, 77 };
+    directory.apply(HostWritten { entry }, start);
+    const auto snapshot = decodeSnapshot(encodeSnapshot(directory, 33));
+    REQUIRE(snapshot);
+    CHECK(snapshot->revision == 33);
+    REQUIRE(snapshot->changes.size() == 2);
+    CHECK(std::get<RouteTableWritten>(snapshot->changes[0]).table == table);
+    CHECK(std::get<HostWritten>(snapshot->changes[1]).entry == entry);
+    CHECK_FALSE(decodeSnapshot("\xff\xff\xff"));
+}
