--- a/src/app/AgentNode.cpp
+++ b/src/app/AgentNode.cpp
@@ -6,11 +6,11 @@
 #include "platform/Readiness.h"
 #include "platform/SettingsFile.h"
 #include "support/Overloaded.h"
+#include "support/RandomNumber.h"
 #include "transport/AdminServer.h"
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <random>
 #include <sys/epoll.h>
 #include <unistd.h>
 
@@ -43,14 +43,6 @@
 // Before the platform ends the process by force.
 constexpr milliseconds stopMargin { 700 };
 
-std::uint64_t drawNumber()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32U) | device();
-}
-
-std::string formatFlow(const FlowKey& key) { return formatEndpoint(key.caller) + ">" + formatEndpoint(key.service); }
-
 }
 
 AgentNode::AgentNode(NodeSettings nodeSettings, std::string settingsPath)
@@ -58,7 +50,7 @@
     , log(this->settings.instance, STDOUT_FILENO)
     , peerSocket(this->settings.packetAddress)
     , hostSocket(this->settings.backendOutbound)
-    , admission(drawNumber(), serviceHash(this->settings.service), platform::readRequestMarks,
+    , admission(drawRandomNumber(), serviceHash(this->settings.service), platform::readRequestMarks,
           platform::readAnswerMarks, std::chrono::steady_clock::now())
     , reload(std::move(settingsPath), platform::readSettingsFile, this->settings, this->log, this->metrics,
           [this](const NodeSettings& next) { this->onSettings(next); })
@@ -77,43 +69,56 @@
     this->settings.stopGrace = next.stopGrace;
 }
 
+void AgentNode::queueVerdict(const SendVerdict& verdict, TimePoint now)
+{
+    Balancer& balancer = this->balancers[verdict.balancer];
+    balancer.lastHeard = now;
+    balancer.verdicts.push_back({ verdict.flow, verdict.verdict });
+    this->metrics.events("verdict_" + std::string(flowVerdictName(verdict.verdict))).Increment();
+    const AgentLoad load = this->admission.currentLoad(now);
+    const bool isRefusal = verdict.verdict > FlowVerdict::Owned;
+    this->log.log(isRefusal ? EventLog::Importance::Notable : EventLog::Importance::Routine, "flow_verdict",
+        { { "flow", formatFlow(verdict.flow) }, { "verdict", flowVerdictName(verdict.verdict) },
+            { "expected_wait_us", verdict.expectedWait.count() }, { "held_us", verdict.held.count() },
+            { "working", load.working }, { "opening", load.opening }, { "held", load.held },
+            { "held_late", load.heldLate }, { "demand_percent", load.demandPercent }, { "slots", load.slots } });
+}
+
+void AgentNode::logAnswer(const ReportAnswer& answer)
+{
+    constexpr int firstServerError = 500;
+    this->metrics.duration("request").Observe(std::chrono::duration<double>(answer.work).count());
+    this->log.log(answer.status >= firstServerError ? EventLog::Importance::Notable : EventLog::Importance::Routine,
+        "request_answered",
+        { { "request", answer.requestId }, { "flow", formatFlow(answer.flow) }, { "status", answer.status },
+            { "work_us", answer.work.count() }, { "since_first_packet_us", answer.sinceFirstPacket.count() } });
+}
+
 void AgentNode::perform(TimePoint now)
 {
+    const auto visitor = Overloaded {
+        [this](const DeliverToBackendServer& delivery) {
+            this->hostSocket.queue(this->settings.backendServer, 0, delivery.datagram);
+        },
+        [this](const DeliverToCaller& delivery) {
+            this->hostSocket.queue(
+                { delivery.caller.address, this->settings.packetAddress.port }, 0, delivery.datagram);
+        },
+        [&](const SendVerdict& verdict) { this->queueVerdict(verdict, now); },
+        [this](const ReportRequest& request) {
+            this->log.log(EventLog::Importance::Routine, "request_delivered",
+                { { "request", request.requestId }, { "flow", formatFlow(request.flow) },
+                    { "working", request.working } });
+        },
+        [this](const ReportLostRequest& request) {
+            this->metrics.events("request_lost").Increment();
+            this->log.log(EventLog::Importance::Notable, "request_lost",
+                { { "request", request.requestId }, { "flow", formatFlow(request.flow) } });
+        },
+        [this](const ReportAnswer& answer) { this->logAnswer(answer); },
+    };
     for (const AgentAction& action : this->actions) {
-        std::visit(
-            Overloaded {
-                [this](const DeliverToBackendServer& delivery) {
-                    this->hostSocket.queue(this->settings.backendServer, 0, delivery.datagram);
-                },
-                [this](const DeliverToCaller& delivery) {
-                    this->hostSocket.queue(
-                        { delivery.caller.address, this->settings.packetAddress.port }, 0, delivery.datagram);
-                },
-                [&](const SendVerdict& verdict) {
-                    Balancer& balancer = this->balancers[verdict.balancer];
-                    balancer.lastHeard = now;
-                    balancer.verdicts.push_back({ verdict.flow, verdict.verdict });
-                    this->metrics.events("verdict_" + std::string(flowVerdictName(verdict.verdict))).Increment();
-                    const AgentLoad load = this->admission.currentLoad(now);
-                    this->log.log(verdict.verdict <= FlowVerdict::Owned ? EventLog::Importance::Routine
-                                                                        : EventLog::Importance::Notable,
-                        "flow_verdict",
-                        { { "flow", formatFlow(verdict.flow) }, { "verdict", flowVerdictName(verdict.verdict) },
-                            { "expected_wait_us", verdict.expectedWait.count() }, { "held_us", verdict.held.count() },
-                            { "working", load.working }, { "opening", load.opening }, { "held", load.held },
-                            { "held_late", load.heldLate }, { "demand_percent", load.demandPercent },
-                            { "slots", load.slots } });
-                },
-                [this](const ReportAnswer& answer) {
-                    this->metrics.duration("request").Observe(std::chrono::duration<double>(answer.work).count());
-                    this->log.log(answer.status >= 500 ? EventLog::Importance::Notable : EventLog::Importance::Routine,
-                        "request_answered",
-                        { { "request", answer.requestId }, { "flow", formatFlow(answer.flow) },
-                            { "status", answer.status }, { "work_us", answer.work.count() },
-                            { "since_first_packet_us", answer.sinceFirstPacket.count() } });
-                },
-            },
-            action);
+        std::visit(visitor, action);
     }
     this->actions.clear();
     this->hostSocket.flush();
--- a/src/app/AgentNode.h
+++ b/src/app/AgentNode.h
@@ -46,6 +46,8 @@
     void takeHostPackets();
     void takeSteered(const Endpoint& balancer, const SteerPacket&, TimePoint now);
     void perform(TimePoint now);
+    void queueVerdict(const SendVerdict&, TimePoint now);
+    void logAnswer(const ReportAnswer&);
     void sendReports(TimePoint now);
     std::vector<std::uint32_t> balancersFor(const Endpoint&, TimePoint now) const;
     void sendReport(const Endpoint& address, Balancer&, TimePoint now);
--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -6,11 +6,11 @@
 #include "platform/SettingsFile.h"
 #include "support/BootClock.h"
 #include "support/Overloaded.h"
+#include "support/RandomNumber.h"
 #include "transport/AdminServer.h"
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <random>
 #include <sys/epoll.h>
 #include <unistd.h>
 
@@ -44,19 +44,11 @@
 // up the first packets that wait since then.
 constexpr milliseconds longestGap { 600 };
 
-std::uint64_t drawNumber()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32U) | device();
-}
-
-std::string formatFlow(const FlowKey& key) { return formatEndpoint(key.caller) + ">" + formatEndpoint(key.service); }
-
 }
 
 BalancerNode::BalancerNode(NodeSettings nodeSettings, std::string settingsPath)
     : settings(std::move(nodeSettings))
-    , lifetime(drawNumber())
+    , lifetime(drawRandomNumber())
     , log(this->settings.instance, STDOUT_FILENO)
     , packetSocket(this->settings.packetAddress)
     , peerSocket(this->settings.peerAddress)
--- a/src/coordination/AgentAction.h
+++ b/src/coordination/AgentAction.h
@@ -32,6 +32,19 @@
     std::chrono::microseconds held { 0 }; // how long the flow has waited for a slot
 };
 
+// A request was delivered to the backend server.
+struct ReportRequest {
+    FlowKey flow;
+    std::string requestId;
+    std::uint32_t working { 0 }; // requests at the backend server, this one included
+};
+
+// A request's flow is gone from the backend server, without an answer to the request.
+struct ReportLostRequest {
+    FlowKey flow;
+    std::string requestId;
+};
+
 // The backend server began its answer to a request.
 struct ReportAnswer {
     FlowKey flow;
@@ -41,6 +54,7 @@
     std::chrono::microseconds work { 0 }; // from the request to the answer
 };
 
-using AgentAction = std::variant<DeliverToBackendServer, DeliverToCaller, SendVerdict, ReportAnswer>;
+using AgentAction = std::variant<DeliverToBackendServer, DeliverToCaller, SendVerdict, ReportRequest,
+    ReportLostRequest, ReportAnswer>;
 
 }
--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -206,10 +206,11 @@
     }
     flow->lastPacket = now;
     if (!packet.payload.empty()) {
+        this->flows.setPhase(*flow, HostFlowPhase::Working, now);
         if (auto marks = this->readRequest(packet.payload); !marks.requestId.empty()) {
             flow->requestId = std::move(marks.requestId);
+            actions.emplace_back(ReportRequest { key, flow->requestId, this->flows.working() });
         }
-        this->flows.setPhase(*flow, HostFlowPhase::Working, now);
     }
     flow->callerFinished = flow->callerFinished || packet.finishes;
     if (packet.resets || (flow->callerFinished && flow->hostFinished)) {
@@ -257,6 +258,9 @@
         return;
     }
     const Endpoint balancer = flow->balancer;
+    if (!flow->requestId.empty()) {
+        actions.emplace_back(ReportLostRequest { key, std::move(flow->requestId) });
+    }
     this->flows.erase(key);
     actions.emplace_back(SendVerdict {
         balancer, key, packet.isFirst() ? FlowVerdict::RefusedByBackendServer : FlowVerdict::Lost, {}, {} });
--- a/src/state/FlowKey.h
+++ b/src/state/FlowKey.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <string>
 
 namespace chicoryferry {
 
@@ -17,6 +18,12 @@
     auto operator<=>(const FlowKey&) const = default;
 };
 
+// For log lines: "caller>service".
+inline std::string formatFlow(const FlowKey& key)
+{
+    return formatEndpoint(key.caller) + ">" + formatEndpoint(key.service);
+}
+
 // Hash for containers; not the hash by which flows are placed.
 struct FlowKeyHash {
     std::size_t operator()(const FlowKey& key) const
--- a/test/unit/FleetSimulation.h
+++ b/test/unit/FleetSimulation.h
@@ -60,6 +60,7 @@
 
     // A balancer stops taking packets; what it knew is gone, and others take its packets.
     void loseBalancer(std::size_t);
+    void restoreBalancer(std::size_t);
 
     // Packets to the balancer wait from now on, and are taken all at once when it resumes.
     void freezeBalancer(std::size_t);
@@ -84,6 +85,9 @@
     double shareThatFits() const;
     double shareServed(Duration from, Duration to) const;
 
+    // Mean time of served requests beyond their own work and the ways.
+    Duration meanDelay() const;
+
     // Requests that the slots can serve in a second.
     double capacity() const;
 
@@ -114,6 +118,7 @@
     std::span<const std::uint8_t> store(const FlowPacket&);
     const FlowPacket& stored(std::span<const std::uint8_t>) const;
     Duration drawWork();
+    Duration ways() const;
     bool isDown() const { return this->now < this->downUntil; }
 
     Options options;
