--- a/src/app/AgentNode.cpp
+++ b/src/app/AgentNode.cpp
@@ -51,7 +51,7 @@
     , peerSocket(this->settings.packetAddress)
     , hostSocket(this->settings.backendOutbound)
     , admission(drawRandomNumber(), serviceHash(this->settings.service), platform::readRequestMarks,
-          platform::readAnswerMarks, std::chrono::steady_clock::now())
+          platform::readAnswerMarks, std::chrono::steady_clock::now(), this->settings.flowLifetime)
     , reload(std::move(settingsPath), platform::readSettingsFile, this->settings, this->log, this->metrics,
           [this](const NodeSettings& next) { this->onSettings(next); })
 {
@@ -59,10 +59,9 @@
 
 void AgentNode::onSettings(const NodeSettings& next)
 {
-    const auto now = std::chrono::steady_clock::now();
     if (next.service != this->settings.service) {
-        this->admission.setService(serviceHash(next.service), now, this->actions);
-        this->perform(now);
+        this->admission.setService(serviceHash(next.service), this->actions);
+        this->perform(std::chrono::steady_clock::now());
     }
     this->settings.service = next.service;
     this->settings.backendServer = next.backendServer;
--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -23,13 +23,15 @@
 // Bounds one call, so that timers and messages are served under load.
 constexpr int batchesPerCall = 8;
 
-// An agent that misses three hellos has lost this balancer; a lost agent is noticed by its reports within the same
-// time.
+// Agents answer each hello, so that their loads stay well below the age at which they count as unknown (900 ms).
 constexpr milliseconds helloInterval { 250 };
 
 // Keeps a hello small; a peer hears of all balancers from several others.
 constexpr std::size_t mostPeersTold = 16;
 
+// A watch tells of a change within some milliseconds, and 150 ms later when changes follow each other.
+constexpr milliseconds readerLag { 600 };
+
 // Hosts that are missing are looked at this often.
 constexpr milliseconds expiryInterval { 200 };
 
@@ -113,11 +115,17 @@
     if (this->reader.isFetching()) {
         return;
     }
-    // A process that reads the store itself gets changes from there, unless its calls fail.
-    if (this->reader.available() && this->peers.isReader(now)) {
+    const auto peer = this->peers.newerPeer(this->reader.revision(), now);
+    if (!peer) {
+        this->behindSince.reset();
         return;
     }
-    if (const auto peer = this->peers.newerPeer(this->reader.revision(), now)) {
+    if (!this->behindSince) {
+        this->behindSince = now;
+    }
+    // A process that reads the store itself gets changes from there, unless its calls fail or hang.
+    const bool readsItself = this->reader.available() && this->peers.isReader(now);
+    if (!readsItself || now - *this->behindSince >= readerLag) {
         this->reader.fetchFrom(*peer, now);
     }
 }
@@ -142,7 +150,7 @@
     }
     this->nextHello = now; // tells peers of the change at once
     this->steering.retryWaiting(now, this->actions);
-    this->perform(now);
+    this->perform();
 }
 
 void BalancerNode::steer(const SteerPacket& packet)
@@ -172,7 +180,7 @@
     this->packetSocket.flush();
 }
 
-void BalancerNode::perform(TimePoint)
+void BalancerNode::perform()
 {
     for (const SteeringAction& action : this->actions) {
         std::visit(Overloaded {
@@ -206,7 +214,7 @@
                 continue;
             }
             this->steering.packet(*packet, datagram.bytes, now, this->actions);
-            this->perform(now);
+            this->perform();
         }
     }
 }
@@ -228,7 +236,7 @@
                     { "slots", message.load.slots } });
         }
     }
-    this->perform(now);
+    this->perform();
 }
 
 void BalancerNode::takeMessages()
@@ -297,7 +305,7 @@
     }
     if (now >= this->steering.nextTick()) {
         this->steering.tick(now, this->actions);
-        this->perform(now);
+        this->perform();
     }
     this->flowCount = this->steering.flowCount();
     this->reload.check(false, now);
--- a/src/app/BalancerNode.h
+++ b/src/app/BalancerNode.h
@@ -18,6 +18,7 @@
 #include <chrono>
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,7 +41,7 @@
     void takeReport(const Endpoint& agent, const ReportMessage&, TimePoint now);
     void onDirectoryChange();
     void onSettings(const NodeSettings&);
-    void perform(TimePoint now);
+    void perform();
     void steer(const SteerPacket&);
     void reset(const ResetFlow&);
     void noticePause(std::chrono::nanoseconds now);
@@ -77,6 +78,7 @@
     TimePoint stopSince;
     TimePoint nextExpiry;
     std::chrono::nanoseconds lastTurn { 0 }; // of the clock that counts while the machine is suspended
+    std::optional<TimePoint> behindSince; // a peer has known more than this process
     bool discardingStale { false };
     bool stopping { false };
     mutable std::mutex snapshotMutex; // the snapshot is read by the threads that serve HTTP
--- a/src/app/NodeSettings.h
+++ b/src/app/NodeSettings.h
@@ -19,7 +19,6 @@
     Endpoint metricsAddress; // HTTP counters
     Endpoint peerAddress; // messages between the system's processes
     Endpoint store; // the platform's metadata store
-    std::uint64_t storeReadsPerSecond { 0 }; // shared by all processes of the system
     std::vector<std::uint32_t> seedAddresses; // machines that may know the others; may be stale
 
     // Agent only: the backend server on the same machine.
@@ -29,7 +28,6 @@
 
     std::chrono::milliseconds stopGrace { 6000 }; // from SIGTERM to SIGKILL
     std::chrono::milliseconds flowLifetime { 60000 }; // older flows may be discarded
-    std::chrono::milliseconds addressReuse { 2000 }; // an address may belong to another service after this
 
     auto operator<=>(const NodeSettings&) const = default;
 };
--- a/src/app/StoreReader.cpp
+++ b/src/app/StoreReader.cpp
@@ -74,7 +74,7 @@
     if (this->fetch && now >= this->fetchDeadline) {
         const std::string step = this->fetch->step();
         this->fetch.reset();
-        this->endFetch(step, "no answer in time", now);
+        this->endFetch(step, "no answer in time");
     }
     if (!this->exchange && this->reading && now >= this->nextCall) {
         this->startCall(now);
@@ -90,7 +90,7 @@
         [this](const HttpExchange::Result& result) { this->onFetched(result); });
 }
 
-void StoreReader::endFetch(const std::string& step, const std::string& reason, TimePoint)
+void StoreReader::endFetch(const std::string& step, const std::string& reason)
 {
     this->metrics.retries("fetch from peer", "peer_unavailable").Increment();
     this->log.log(EventLog::Importance::Notable, "peer_fetch_failed",
@@ -103,13 +103,12 @@
     const auto now = std::chrono::steady_clock::now();
     this->finished = std::move(this->fetch);
     if (result.status != statusOk) {
-        this->endFetch(
-            result.step, result.status == 0 ? result.reason : "status " + std::to_string(result.status), now);
+        this->endFetch(result.step, result.status == 0 ? result.reason : "status " + std::to_string(result.status));
         return;
     }
     const auto snapshot = decodeSnapshot(result.body);
     if (!snapshot) {
-        this->endFetch("read answer", "not a snapshot", now);
+        this->endFetch("read answer", "not a snapshot");
         return;
     }
     if (snapshot->revision <= this->watchedRevision) {
--- a/src/app/StoreReader.h
+++ b/src/app/StoreReader.h
@@ -63,7 +63,7 @@
     void apply(const std::vector<DirectoryChange>&, std::uint64_t revision, TimePoint now);
     void logEffect(const DirectoryChange&, HostDirectory::Effect, std::uint64_t revision);
     void logHost(std::string_view host, std::string_view state, std::uint64_t revision);
-    void endFetch(const std::string& step, const std::string& reason, TimePoint now);
+    void endFetch(const std::string& step, const std::string& reason);
     void fail(const std::string& step, const std::string& reason, TimePoint now);
     void succeeded(TimePoint now);
 
--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -17,9 +17,6 @@
 // A request that has run for this many times the mean is a long one.
 constexpr int longRequestMeans = 3;
 
-// An agent that started less than the lifetime of a flow ago may have a backend server with older flows.
-constexpr std::chrono::seconds flowLifetime { 60 };
-
 // A backend server returns a packet of a flow that it does not hold at once.
 constexpr std::chrono::milliseconds trialLifetime { 2000 };
 
@@ -53,12 +50,13 @@
 }
 
 HostAdmission::HostAdmission(std::uint64_t agentLifetime, std::uint64_t ownService, MarkReader requestReader,
-    MarkReader answerReader, TimePoint now)
+    MarkReader answerReader, TimePoint now, std::chrono::milliseconds longestFlow)
     : lifetime(agentLifetime)
     , service(ownService)
     , readRequest(std::move(requestReader))
     , readAnswer(std::move(answerReader))
     , startedAt(now)
+    , flowLifetime(longestFlow)
 {
 }
 
@@ -167,7 +165,8 @@
     std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions)
 {
     const FlowKey key = packet.keyFromCaller();
-    if (now - this->startedAt > flowLifetime) {
+    // An agent that started less than the lifetime of a flow ago may have a backend server with older flows.
+    if (now - this->startedAt > this->flowLifetime) {
         if (!search) {
             actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::NotFound, {}, {} });
         }
@@ -317,7 +316,7 @@
     }
 }
 
-void HostAdmission::setService(std::uint64_t nextService, TimePoint, std::vector<AgentAction>& actions)
+void HostAdmission::setService(std::uint64_t nextService, std::vector<AgentAction>& actions)
 {
     this->service = nextService;
     for (const auto& [rank, flow] : this->held) {
--- a/src/coordination/HostAdmission.h
+++ b/src/coordination/HostAdmission.h
@@ -35,9 +35,10 @@
     // Read the marks of a payload; the format belongs to the ends of the flow.
     using MarkReader = std::function<RequestMarks(std::span<const std::uint8_t>)>;
 
-    // lifetime: drawn at each start. service: serviceHash() of the service of the backend server.
+    // lifetime: drawn at each start. service: serviceHash() of the service of the backend server. flowLifetime: older
+    // flows need not be found again.
     HostAdmission(std::uint64_t lifetime, std::uint64_t service, MarkReader readRequest, MarkReader readAnswer,
-        TimePoint startedAt);
+        TimePoint startedAt, std::chrono::milliseconds flowLifetime);
 
     void newFlow(const FlowOffer&, std::uint64_t service, const FlowPacket&, std::span<const std::uint8_t> datagram,
         TimePoint now, std::vector<AgentAction>& actions);
@@ -57,7 +58,7 @@
     void leave() { this->leaving = true; }
 
     // The backend server belongs to another service from now on; flows that are held are refused.
-    void setService(std::uint64_t service, TimePoint now, std::vector<AgentAction>& actions);
+    void setService(std::uint64_t service, std::vector<AgentAction>& actions);
 
     AgentLoad currentLoad(TimePoint now) const;
 
@@ -109,6 +110,7 @@
     MarkReader readRequest;
     MarkReader readAnswer;
     TimePoint startedAt;
+    std::chrono::milliseconds flowLifetime;
     std::uint64_t sequence { 0 };
     std::uint32_t slots { 1 };
     std::chrono::microseconds meanWork { 0 };
--- a/test/unit/FleetSimulation.cpp
+++ b/test/unit/FleetSimulation.cpp
@@ -89,8 +89,8 @@
 void FleetSimulation::resetHost(std::size_t index)
 {
     Host host;
-    host.admission = std::make_unique<HostAdmission>(
-        this->random(), serviceHash(serviceName), noMarks, noMarks, this->now - std::chrono::hours(1));
+    host.admission = std::make_unique<HostAdmission>(this->random(), serviceHash(serviceName), noMarks, noMarks,
+        this->now - std::chrono::hours(1), std::chrono::minutes(1));
     host.silent = this->hosts[index].silent;
     host.crashed = this->hosts[index].crashed;
     this->hosts[index] = std::move(host);
--- a/test/unit/PlatformFormatsAreDecodedOnce.cpp
+++ b/test/unit/PlatformFormatsAreDecodedOnce.cpp
@@ -62,8 +62,8 @@
     CHECK(settings.stopGrace == std::chrono::seconds(6));
     CHECK_THROWS_WITH_AS(parseSettingsFile("zone=a\n"), doctest::Contains("node-name"), UserError);
     std::string bad = settingsText;
-    bad.replace(bad.find("reads-per-s=2000"), 16, "reads-per-s=many");
-    CHECK_THROWS_WITH_AS(parseSettingsFile(bad), doctest::Contains("platform.reads-per-s"), UserError);
+    bad.replace(bad.find("grace-s=6"), 9, "grace-s=many");
+    CHECK_THROWS_WITH_AS(parseSettingsFile(bad), doctest::Contains("bounds.grace-s"), UserError);
 }
 
 // Guards against entries of other writers: each of these names no host, and must not end the process.
