A late packet of an ended flow is no loss; tests of what an agent says of its flows

Found by reading: a returned acknowledgement of a flow that had ended led to a reset. The test fails with the check removed (verdict lost in place of none).

--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -256,6 +256,9 @@
         this->trials.erase(key); // another agent's backend server holds the flow, or none
         return;
     }
+    if (flow->phase == HostFlowPhase::Closed) {
+        return; // a late packet of a flow that has ended
+    }
     const Endpoint balancer = flow->balancer;
     if (!flow->requestId.empty()) {
         actions.emplace_back(ReportLostRequest { key, std::move(flow->requestId) });
--- /dev/null
+++ b/test/unit/AgentsTellWhatTheyHold.cpp
@@ -0,0 +1,215 @@
+#include "coordination/FlowPlacement.h"
+#include "coordination/HostAdmission.h"
+
+#include <algorithm>
+#include <array>
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace chicoryferry;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const HostAdmission::TimePoint start { std::chrono::hours(1) };
+const Endpoint balancer { 0x0A000001, 7720 };
+const Endpoint otherBalancer { 0x0A000002, 7720 };
+const Endpoint caller { 0x64400007, 40001 };
+const Endpoint route { 0xC6120001, 443 };
+constexpr std::array<std::uint8_t, 4> bytes { 1, 2, 3, 4 };
+constexpr std::uint32_t hostSequence = 5000;
+
+RequestMarks oneRequest(std::span<const std::uint8_t>) { return { "request-1", 0 }; }
+RequestMarks statusOk(std::span<const std::uint8_t>) { return { "", 200 }; }
+
+FlowPacket between(const Endpoint& source, const Endpoint& destination)
+{
+    FlowPacket packet;
+    packet.source = source;
+    packet.destination = destination;
+    return packet;
+}
+
+// An agent with one backend server, and the actions of its last call.
+class Agent {
+public:
+    explicit Agent(seconds age = seconds(3600))
+        : admission(1, serviceHash("job"), oneRequest, statusOk, start - age, seconds(60))
+    {
+    }
+
+    void offer(const std::string& service = "job", const Endpoint& from = caller)
+    {
+        this->actions.clear();
+        FlowPacket packet = between(from, route);
+        packet.opens = true;
+        this->admission.newFlow({ balancer, milliseconds(40), 1, FlowUrgency::InTime, 2 }, serviceHash(service), packet,
+            bytes, start, this->actions);
+    }
+
+    void openFlow()
+    {
+        this->offer();
+        this->fromHost([](FlowPacket& packet) {
+            packet.opens = true;
+            packet.sequence = hostSequence;
+        });
+        this->fromCaller([](FlowPacket& packet) { packet.payload = bytes; });
+    }
+
+    template <typename Change> void fromCaller(Change change, bool search = false, const Endpoint& via = balancer)
+    {
+        this->actions.clear();
+        FlowPacket packet = between(caller, route);
+        packet.acknowledges = true;
+        packet.acknowledgement = hostSequence + 1;
+        change(packet);
+        this->admission.callerPacket(via, serviceHash("job"), search, packet, bytes, start, this->actions);
+    }
+
+    template <typename Change> void fromHost(Change change)
+    {
+        this->actions.clear();
+        FlowPacket packet = between(route, caller);
+        packet.acknowledges = true;
+        change(packet);
+        this->admission.hostPacket(packet, bytes, start, this->actions);
+    }
+
+    // The backend server returns a packet of the caller.
+    void returned()
+    {
+        this->actions.clear();
+        FlowPacket packet = between(caller, route);
+        packet.returned = true;
+        this->admission.hostPacket(packet, bytes, start, this->actions);
+    }
+
+    std::vector<FlowVerdict> verdicts() const
+    {
+        std::vector<FlowVerdict> found;
+        for (const AgentAction& action : this->actions) {
+            if (const auto* verdict = std::get_if<SendVerdict>(&action)) {
+                found.push_back(verdict->verdict);
+            }
+        }
+        return found;
+    }
+
+    bool delivered() const
+    {
+        return std::any_of(this->actions.begin(), this->actions.end(),
+            [](const AgentAction& action) { return std::holds_alternative<DeliverToBackendServer>(action); });
+    }
+
+    HostAdmission admission;
+    std::vector<AgentAction> actions;
+};
+
+}
+
+// Guards against a flow that reaches another service because an address is used again.
+TEST_CASE("packets of another service are not delivered")
+{
+    Agent agent;
+    agent.offer("drawing");
+    CHECK(agent.verdicts() == std::vector { FlowVerdict::WrongService });
+    CHECK_FALSE(agent.delivered());
+    agent.admission.setService(serviceHash("drawing"), agent.actions);
+    agent.fromCaller([](FlowPacket&) {});
+    CHECK(agent.verdicts() == std::vector { FlowVerdict::WrongService });
+    CHECK_FALSE(agent.delivered());
+}
+
+// Guards against a caller who waits for a backend server that has lost its flow, and against a reset of a flow that
+// has ended as it should.
+TEST_CASE("a flow that the backend server returns is lost, unless it has ended")
+{
+    Agent agent;
+    agent.openFlow();
+    SUBCASE("open")
+    {
+        agent.returned();
+        CHECK(agent.verdicts() == std::vector { FlowVerdict::Lost });
+        CHECK(std::any_of(agent.actions.begin(), agent.actions.end(),
+            [](const AgentAction& action) { return std::holds_alternative<ReportLostRequest>(action); }));
+    }
+    SUBCASE("ended")
+    {
+        agent.fromHost([](FlowPacket& packet) {
+            packet.payload = bytes;
+            packet.finishes = true;
+        });
+        agent.fromCaller([](FlowPacket& packet) { packet.finishes = true; });
+        agent.returned();
+        CHECK(agent.verdicts().empty());
+    }
+}
+
+// Guards against two backend servers for one flow: the caller has taken another one's answer.
+TEST_CASE("a half-open flow whose caller went elsewhere is dropped and not delivered")
+{
+    Agent agent;
+    agent.offer();
+    agent.fromHost([](FlowPacket& packet) {
+        packet.opens = true;
+        packet.sequence = hostSequence;
+    });
+    agent.fromCaller([](FlowPacket& packet) { packet.acknowledgement = 77; });
+    CHECK(agent.verdicts() == std::vector { FlowVerdict::NotFound });
+    CHECK_FALSE(agent.delivered());
+    CHECK(agent.admission.flowCount() == 0);
+}
+
+// Guards against owners that stay unknown after a balancer was replaced, and against packets at the wrong host.
+TEST_CASE("a searched packet is delivered by the owner only, which says so")
+{
+    Agent agent;
+    agent.openFlow();
+    agent.fromCaller([](FlowPacket&) {}, true, otherBalancer);
+    CHECK(agent.verdicts() == std::vector { FlowVerdict::Owned });
+    CHECK(agent.delivered());
+    Agent stranger;
+    stranger.fromCaller([](FlowPacket&) {}, true, otherBalancer);
+    CHECK(stranger.verdicts().empty());
+    CHECK_FALSE(stranger.delivered());
+}
+
+// Guards against flows that are lost with a restart of the agent, while the backend server still holds them.
+TEST_CASE("a restarted agent finds flows that its backend server holds")
+{
+    Agent agent(seconds(1));
+    agent.fromCaller([](FlowPacket&) {}, true);
+    CHECK(agent.delivered());
+    CHECK(agent.verdicts().empty());
+    agent.fromHost([](FlowPacket& packet) { packet.payload = bytes; });
+    CHECK(agent.verdicts() == std::vector { FlowVerdict::Owned });
+}
+
+// Guards against new flows at an agent that stops.
+TEST_CASE("a leaving agent refuses new flows and keeps those that it has")
+{
+    Agent agent;
+    agent.openFlow();
+    agent.admission.leave();
+    agent.offer("job", { caller.address, 40002 });
+    CHECK(agent.verdicts() == std::vector { FlowVerdict::RefusedLeaving });
+    agent.fromCaller([](FlowPacket&) {});
+    CHECK(agent.delivered());
+    CHECK(agent.admission.unfinished() == 1);
+}
+
+// Guards against callers who wait for a backend server that does not answer.
+TEST_CASE("a first packet without an answer is given back after 30 ms, and new flows are refused for 0.5 s")
+{
+    Agent agent;
+    agent.offer();
+    agent.actions.clear();
+    agent.admission.tick(start + milliseconds(31), agent.actions);
+    CHECK(agent.verdicts() == std::vector { FlowVerdict::RefusedByBackendServer });
+    CHECK(agent.admission.isHostSilent(start + milliseconds(500)));
+    CHECK_FALSE(agent.admission.isHostSilent(start + milliseconds(532)));
+    agent.fromHost([](FlowPacket&) {});
+    CHECK_FALSE(agent.admission.isHostSilent(start + milliseconds(100)));
+}
