--- /dev/null
+++ b/test/fuzz/SteeringFuzz.cpp
@@ -0,0 +1,35 @@
+#include "FuzzTarget.h"
+
+#include "app/DirectorySnapshot.h"
+#include "app/SteeringMessages.h"
+#include "platform/FlowPayload.h"
+#include "platform/PacketFormat.h"
+
+#include <cstdlib>
+#include <string>
+
+using namespace chicoryferry;
+
+// Datagrams and snapshots of peers, and the packets in them.
+int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    const std::span<const std::uint8_t> bytes(data, size);
+    SteeringMessages messages;
+    if (const auto message = messages.decode(bytes)) {
+        if (const auto* report = std::get_if<ReportMessage>(&*message)) {
+            if (report->load.slots == 0) {
+                std::abort(); // would divide by zero
+            }
+            expectedWait(report->load, 1, FlowUrgency::Late);
+        }
+    }
+    if (const auto packet = platform::decodePacket(bytes)) {
+        platform::readRequestMarks(packet->payload);
+        platform::readAnswerMarks(packet->payload);
+        if (packet->payload.size() + platform::packetHeadBytes != size) {
+            std::abort();
+        }
+    }
+    decodeSnapshot(std::string(reinterpret_cast<const char*>(data), size));
+    return 0;
+}
--- a/test/unit/PlatformFormatsAreDecodedOnce.cpp
+++ b/test/unit/PlatformFormatsAreDecodedOnce.cpp
@@ -64,6 +64,12 @@
     std::string bad = settingsText;
     bad.replace(bad.find("grace-s=6"), 9, "grace-s=many");
     CHECK_THROWS_WITH_AS(parseSettingsFile(bad), doctest::Contains("bounds.grace-s"), UserError);
+    for (const char* ports : { "internal-ports=,", "internal-ports=99999999,1", "internal-ports=0,1" }) {
+        std::string badPorts = settingsText;
+        badPorts.replace(badPorts.find("internal-ports=7720,7735"), 24, ports);
+        CAPTURE(ports);
+        CHECK_THROWS_WITH_AS(parseSettingsFile(badPorts), doctest::Contains("internal-ports"), UserError);
+    }
 }
 
 // Guards against entries of other writers: each of these names no host, and must not end the process.
