--- a/src/app/StoreReader.cpp
+++ b/src/app/StoreReader.cpp
@@ -136,7 +136,6 @@
 {
     const std::string target = this->listing ? platform::listTarget(this->listAfter)
                                              : platform::watchTarget(this->watchedRevision, watchWait);
-    this->callStart = now;
     this->deadline = now + callTimeout + (this->listing ? milliseconds(0) : watchWait);
     this->metrics.events("store_call").Increment();
     this->exchange = std::make_unique<HttpExchange>(this->loop, this->store, target, maximumAnswerBytes,
--- a/src/app/StoreReader.h
+++ b/src/app/StoreReader.h
@@ -85,7 +85,6 @@
     bool answered { false };
     TimePoint deadline; // of the call
     TimePoint nextCall;
-    TimePoint callStart;
     bool listing { true };
     std::string listAfter;
     std::uint64_t listRevision { 0 };
--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -18,7 +18,7 @@
 constexpr int longRequestMeans = 3;
 
 // A backend server returns a packet of a flow that it does not hold at once.
-constexpr std::chrono::milliseconds trialLifetime { 2000 };
+constexpr std::chrono::milliseconds tentativeLifetime { 2000 };
 
 // A flow that is idle for longer may be discarded; the balancers ask again when it goes on.
 constexpr std::chrono::milliseconds idleLimit { 30000 };
@@ -172,7 +172,7 @@
         }
         return;
     }
-    this->trials.insert_or_assign(key, Trial { balancer, now });
+    this->tentative.insert_or_assign(key, TentativeDelivery { balancer, now });
     actions.emplace_back(DeliverToBackendServer { datagram });
 }
 
@@ -253,7 +253,7 @@
     const FlowKey key = packet.keyFromCaller();
     HostFlow* flow = this->flows.find(key);
     if (flow == nullptr) {
-        this->trials.erase(key); // another agent's backend server holds the flow, or none
+        this->tentative.erase(key); // another agent's backend server holds the flow, or none
         return;
     }
     if (flow->phase == HostFlowPhase::Closed) {
@@ -281,13 +281,13 @@
     actions.emplace_back(DeliverToCaller { packet.destination, datagram });
     HostFlow* flow = this->flows.find(key);
     if (flow == nullptr) {
-        const auto trial = this->trials.find(key);
-        if (trial != this->trials.end()) {
+        const auto delivery = this->tentative.find(key);
+        if (delivery != this->tentative.end()) {
             // The flow is older than this agent.
-            HostFlow& found = this->flows.open(key, trial->second.balancer, now);
+            HostFlow& found = this->flows.open(key, delivery->second.balancer, now);
             this->flows.setPhase(found, HostFlowPhase::Idle, now);
-            actions.emplace_back(SendVerdict { trial->second.balancer, key, FlowVerdict::Owned, {}, {} });
-            this->trials.erase(trial);
+            actions.emplace_back(SendVerdict { delivery->second.balancer, key, FlowVerdict::Owned, {}, {} });
+            this->tentative.erase(delivery);
         }
         return;
     }
@@ -368,7 +368,7 @@
     }
     this->nextSweep = now + sweepInterval;
     this->flows.expire(idleLimit, now);
-    std::erase_if(this->trials, [&](const auto& item) { return now - item.second.since > trialLifetime; });
+    std::erase_if(this->tentative, [&](const auto& item) { return now - item.second.since > tentativeLifetime; });
 }
 
 }
--- a/src/coordination/HostAdmission.h
+++ b/src/coordination/HostAdmission.h
@@ -88,7 +88,7 @@
     using HeldRank = std::pair<FlowUrgency, std::uint32_t>;
 
     // A packet of a flow that is not in the table was delivered, because the backend server may hold the flow.
-    struct Trial {
+    struct TentativeDelivery {
         Endpoint balancer;
         TimePoint since;
     };
@@ -120,7 +120,7 @@
     double demand { 0 }; // flows in time, each counted down by its age
     TimePoint demandAt;
     std::vector<HeldFlow> delivered; // keeps the datagrams of the last actions
-    std::unordered_map<FlowKey, Trial, FlowKeyHash> trials;
+    std::unordered_map<FlowKey, TentativeDelivery, FlowKeyHash> tentative;
     TimePoint hostSilentUntil;
     TimePoint nextSweep;
 };
