Do not reset a flow that an agent may have opened; one type a name

Now a flow that an agent or its backend server left without an answer is offered to others but not reset, a caller's later packet ends the offers, and an agent keeps a flow whose backend server is late.

--- a/scripts/check-operations-page.sh
+++ b/scripts/check-operations-page.sh
@@ -11,7 +11,7 @@
     {
         matches '(drops|refusals|retries)\([^,()]+, *"[a-z_]+"|refusal\([0-9]+, [A-Za-z:]+, *"[a-z_]+"|\.drop\("[a-z_]+"' |
             grep -v -x -E 'route|send'
-        matches 'ResetFlow \{ [^}]*"[a-z_]+"'
+        matches 'SendReset \{ [^}]*"[a-z_]+"'
         matches 'names \{ "admitted"[^}]*'
         matches 'Importance::(Notable|Routine), *"[a-z_]+"'
         matches 'EventLog::Importance::Routine, *"[a-z_]+"'
--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -169,7 +169,7 @@
     }
 }
 
-void BalancerNode::reset(const ResetFlow& action)
+void BalancerNode::reset(const SendReset& action)
 {
     this->metrics.refusals("steer flow", std::string(action.reason)).Increment();
     this->log.log(EventLog::Importance::Notable, "flow_reset",
@@ -185,7 +185,7 @@
     for (const SteeringAction& action : this->actions) {
         std::visit(Overloaded {
                        [this](const SteerPacket& packet) { this->steer(packet); },
-                       [this](const ResetFlow& flow) { this->reset(flow); },
+                       [this](const SendReset& flow) { this->reset(flow); },
                    },
             action);
     }
--- a/src/app/BalancerNode.h
+++ b/src/app/BalancerNode.h
@@ -43,7 +43,7 @@
     void onSettings(const NodeSettings&);
     void perform();
     void steer(const SteerPacket&);
-    void reset(const ResetFlow&);
+    void reset(const SendReset&);
     void noticePause(std::chrono::nanoseconds now);
     void tick(TimePoint now);
     void sendHellos(TimePoint now);
--- a/src/app/SteeringMessages.h
+++ b/src/app/SteeringMessages.h
@@ -35,7 +35,7 @@
 
 // A balancer's greeting.
 struct HelloMessage {
-    PeerState state;
+    BalancerState state;
     std::vector<std::uint32_t> balancers; // addresses of others heard of lately
 };
 
--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -60,6 +60,9 @@
 // Covers repeated packets after both ends have finished.
 constexpr std::chrono::milliseconds closedFlowLifetime { 2000 };
 
+// The caller gives a new flow up 1.4 s after its first packet.
+constexpr std::chrono::milliseconds openingLifetime { 1400 };
+
 constexpr std::chrono::milliseconds sweepInterval { 1000 };
 
 }
@@ -78,6 +81,18 @@
     }
 }
 
+bool FlowSteering::refuse(
+    const FlowKey& key, Opening& opening, std::string_view reason, TimePoint now, std::vector<SteeringAction>& actions)
+{
+    if (!opening.uncertain) {
+        actions.emplace_back(SendReset { key, 0, reason });
+        return false;
+    }
+    opening.exhausted = true;
+    opening.deadline = now + openingLifetime;
+    return true;
+}
+
 bool FlowSteering::place(const FlowKey& key, Opening& opening, TimePoint now, std::vector<SteeringAction>& actions)
 {
     if (!this->directory.hasRoutes()) {
@@ -86,7 +101,7 @@
     }
     const FlowRoute* route = this->directory.route(key.service);
     if (route == nullptr) {
-        actions.emplace_back(ResetFlow { key, 0, "no_route" });
+        actions.emplace_back(SendReset { key, 0, "no_route" });
         return false;
     }
     const auto age
@@ -104,12 +119,10 @@
             this->wait(opening, now);
             return true;
         }
-        actions.emplace_back(ResetFlow { key, 0, "all_refused" });
-        return false;
+        return this->refuse(key, opening, "all_refused", now, actions);
     }
     if (limit.count() < 0 || choice->expectedWait > limit || opening.tried.size() >= mostAgentsTried) {
-        actions.emplace_back(ResetFlow { key, 0, "no_slot_in_time" });
-        return false;
+        return this->refuse(key, opening, "no_slot_in_time", now, actions);
     }
     opening.waiting = false;
     opening.tried.push_back(choice->agent);
@@ -141,7 +154,7 @@
     }
     const auto opening = this->openings.find(key);
     if (opening == this->openings.end() && this->openings.size() >= mostOpenings) {
-        actions.emplace_back(ResetFlow { key, 0, "too_many_openings" });
+        actions.emplace_back(SendReset { key, 0, "too_many_openings" });
         return;
     }
     Opening& entry = this->openings[key];
@@ -165,7 +178,7 @@
     if (found != this->flows.end() && !found->second.owners.empty()) {
         Flow& flow = found->second;
         if (this->directory.hasRoutes() && this->directory.route(key.service) == nullptr) {
-            actions.emplace_back(ResetFlow { key, packet.acknowledgement, "route_removed" });
+            actions.emplace_back(SendReset { key, packet.acknowledgement, "route_removed" });
             this->flows.erase(found);
             return;
         }
@@ -187,10 +200,12 @@
     const FlowRoute* route = this->directory.route(key.service);
     if (route == nullptr) {
         if (this->directory.hasRoutes()) {
-            actions.emplace_back(ResetFlow { key, packet.acknowledgement, "no_route" });
+            actions.emplace_back(SendReset { key, packet.acknowledgement, "no_route" });
         }
         return;
     }
+    // The caller has the answer of a backend server: the flow is open at one of the agents that were asked.
+    this->openings.erase(key);
     Flow& flow = this->flows[key];
     flow.service = route->service;
     flow.lastPacket = now;
@@ -255,6 +270,7 @@
 
 void FlowSteering::owned(const Endpoint& agent, const FlowKey& key, TimePoint now)
 {
+    this->openings.erase(key);
     Flow& flow = this->flowOf(key, now);
     flow.owners.assign(1, agent);
     flow.opening.reset();
@@ -266,7 +282,8 @@
     const auto opening = this->openings.find(key);
     if (opening != this->openings.end()) {
         const auto& tried = opening->second.tried;
-        if (!opening->second.waiting && !tried.empty() && tried.back() == agent) {
+        opening->second.uncertain = opening->second.uncertain || verdict == FlowVerdict::RefusedByBackendServer;
+        if (!opening->second.waiting && !opening->second.exhausted && !tried.empty() && tried.back() == agent) {
             this->placement.answered(agent);
             this->placeOrForget(opening, now, actions);
         }
@@ -278,14 +295,15 @@
     }
     Flow& flow = found->second;
     if (flow.opening) {
-        // The agent admitted the flow and its backend server did not: nothing has run, another one may take it.
+        // The agent admitted the flow and its backend server has not answered: another one may take it.
         const auto placed = this->openings.insert_or_assign(key, std::move(*flow.opening)).first;
+        placed->second.uncertain = placed->second.uncertain || verdict == FlowVerdict::RefusedByBackendServer;
         this->flows.erase(found);
         this->placeOrForget(placed, now, actions);
         return;
     }
     if (verdict == FlowVerdict::Lost) {
-        actions.emplace_back(ResetFlow { key, flow.lastAcknowledgement, "lost_by_backend_server" });
+        actions.emplace_back(SendReset { key, flow.lastAcknowledgement, "lost_by_backend_server" });
         this->flows.erase(found);
     }
 }
@@ -319,8 +337,9 @@
         }
         bool stays = false;
         if (opening->second.waiting) {
-            actions.emplace_back(ResetFlow { opening->first, 0, "no_agent" });
-        } else {
+            actions.emplace_back(SendReset { opening->first, 0, "no_agent" });
+        } else if (!opening->second.exhausted) {
+            opening->second.uncertain = true;
             this->placement.silent(opening->second.tried.back());
             stays = this->place(opening->first, opening->second, now, actions);
         }
--- a/src/coordination/FlowSteering.h
+++ b/src/coordination/FlowSteering.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -58,6 +59,9 @@
         TimePoint deadline; // of the agent's verdict, or of the wait for an agent
         std::uint32_t copies { 0 }; // how often the caller has repeated the packet
         bool waiting { false }; // no agent has been asked
+        // An agent gave no verdict, or its backend server no answer, in time: the flow may be open there all the same.
+        bool uncertain { false };
+        bool exhausted { false }; // no further agent is asked
     };
 
     struct Flow {
@@ -78,6 +82,8 @@
     // Returns whether the opening stays.
     bool place(const FlowKey&, Opening&, TimePoint now, std::vector<SteeringAction>& actions);
     void wait(Opening&, TimePoint now) const;
+    // Resets the flow, unless it may be open at an agent. Returns whether the opening stays.
+    bool refuse(const FlowKey&, Opening&, std::string_view reason, TimePoint now, std::vector<SteeringAction>& actions);
     void admitted(const Endpoint& agent, const FlowKey&, TimePoint now);
     void owned(const Endpoint& agent, const FlowKey&, TimePoint now);
     Flow& flowOf(const FlowKey&, TimePoint now);
--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -331,9 +331,10 @@
 void HostAdmission::refuseUnanswered(TimePoint now, std::vector<AgentAction>& actions)
 {
     for (const FlowKey& key : this->flows.unanswered(answerTimeout, now)) {
-        actions.emplace_back(
-            SendVerdict { this->flows.find(key)->balancer, key, FlowVerdict::RefusedByBackendServer, {}, {} });
-        this->flows.erase(key);
+        // The flow stays known: a late answer of the backend server may still open it.
+        HostFlow& flow = *this->flows.find(key);
+        actions.emplace_back(SendVerdict { flow.balancer, key, FlowVerdict::RefusedByBackendServer, {}, {} });
+        this->flows.setPhase(flow, HostFlowPhase::Stalled, now);
         this->hostSilentUntil = now + silencePause;
     }
     if (!this->isHostSilent(now)) {
--- a/src/coordination/SteeringAction.h
+++ b/src/coordination/SteeringAction.h
@@ -32,12 +32,12 @@
 };
 
 // Tell the caller at once that the flow is not served.
-struct ResetFlow {
+struct SendReset {
     FlowKey flow;
     std::uint32_t sequence { 0 };
     std::string_view reason;
 };
 
-using SteeringAction = std::variant<SteerPacket, ResetFlow>;
+using SteeringAction = std::variant<SteerPacket, SendReset>;
 
 }
--- a/src/state/PeerBalancers.cpp
+++ b/src/state/PeerBalancers.cpp
@@ -36,7 +36,7 @@
     return peer.everHeard && now - peer.lastHeard <= liveTime;
 }
 
-void PeerBalancers::heard(const Endpoint& address, const PeerState& state, TimePoint now)
+void PeerBalancers::heard(const Endpoint& address, const BalancerState& state, TimePoint now)
 {
     if (address == this->self) {
         return;
--- a/src/state/PeerBalancers.h
+++ b/src/state/PeerBalancers.h
@@ -13,7 +13,7 @@
 namespace chicoryferry {
 
 // What a balancer said of itself in its last hello.
-struct PeerState {
+struct BalancerState {
     std::uint64_t lifetime { 0 };
     std::uint64_t revision { 0 }; // of the store, up to which it knows all changes
     bool storeAvailable { false }; // it reads the store itself and gets answers
@@ -32,7 +32,7 @@
     void setSeeds(std::vector<Endpoint>);
 
     // A peer greeted this process.
-    void heard(const Endpoint&, const PeerState&, TimePoint now);
+    void heard(const Endpoint&, const BalancerState&, TimePoint now);
 
     // Somebody has heard of these addresses.
     void learn(std::span<const Endpoint>, TimePoint now);
@@ -57,7 +57,7 @@
 
 private:
     struct Peer {
-        PeerState state;
+        BalancerState state;
         TimePoint lastHeard;
         TimePoint learnedAt;
         TimePoint noFetchBefore;
--- a/test/unit/FleetSimulation.cpp
+++ b/test/unit/FleetSimulation.cpp
@@ -240,7 +240,7 @@
     const Endpoint own { firstBalancerAddress + static_cast<std::uint32_t>(index), peerPort };
     const std::uint64_t sentIn = this->epoch;
     for (const SteeringAction& action : balancer.actions) {
-        if (const auto* reset = std::get_if<ResetFlow>(&action)) {
+        if (const auto* reset = std::get_if<SendReset>(&action)) {
             FlowPacket packet;
             packet.source = reset->flow.service;
             packet.destination = reset->flow.caller;
