Hand the idempotency records of a leaving coordinator to its successors

Cause: the coordinator of a key was the first-ranked host, draining ones included, and its records ended with its process.

Change: active hosts coordinate keys; a draining host that is terminated hands its records to them with acknowledgement (KeyRetirement) before it ends; a host that has all of them need not ask it, and says so in its answers. A holder whose report is not recorded turns to the coordinator in force.

Unit LeavingCoordinatorHandsItsKeysOn: 5 of 5 cases fail without the handover. A host that is terminated without being drained by the configuration still takes its keys along.

--- a/src/app/AgentProcess.cpp
+++ b/src/app/AgentProcess.cpp
@@ -32,6 +32,10 @@
 // Ends a drain behind balancers that never stop sending; twice the time in which an instance list is in force.
 constexpr std::chrono::milliseconds longestQuietWait { 10000 };
 
+// A leaving agent does not wait any longer for hosts that do not take its idempotency records; 200,000 records are
+// 1,000 messages, each answered within some milliseconds.
+constexpr std::chrono::milliseconds longestKeyHandover { 10000 };
+
 }
 
 AgentProcess::AgentProcess(Settings agentSettings)
@@ -97,7 +101,7 @@
     this->control.stop();
     this->logger.log(LogLevel::Info, "stopped", "stop", "",
         { { "flows", this->flows.liveCount() }, { "requests", this->broker.requestsInFlight() },
-            { "drained", !cutShort } });
+            { "drained", !cutShort }, { "keys_handed_on", !this->broker.isHandingOnKeys() } });
 }
 
 void AgentProcess::watchDescriptors()
@@ -243,6 +247,9 @@
     if (this->flows.liveCount() > 0 || this->broker.requestsInFlight() > 0) {
         return false;
     }
+    if (this->broker.isHandingOnKeys() && now - this->drainStart < longestKeyHandover) {
+        return false;
+    }
     const TimePoint reference = std::max(this->lastPacket, this->drainStart);
     return now - reference >= quietPeriod || now - this->drainStart >= longestQuietWait;
 }
--- a/src/coordination/KeyCoordinator.cpp
+++ b/src/coordination/KeyCoordinator.cpp
@@ -32,6 +32,20 @@
     answer.set_status(status);
 }
 
+State stateOf(wire::KeyAnswer::Result result)
+{
+    switch (result) {
+    case wire::KeyAnswer::IN_PROGRESS:
+        return State::Acquired;
+    case wire::KeyAnswer::COMPLETED:
+        return State::Completed;
+    case wire::KeyAnswer::FENCED:
+        return State::Released;
+    default:
+        return State::Unknown;
+    }
+}
+
 wire::KeyAnswer::Result resultOf(State state)
 {
     switch (state) {
@@ -48,6 +62,31 @@
     return wire::KeyAnswer::FENCED;
 }
 
+void set(wire::Sender& target, const PeerIdentity& identity)
+{
+    target.set_instance(identity.instance);
+    target.set_incarnation(identity.incarnation);
+}
+
+wire::KeyRecord encode(const std::pair<std::string, std::string>& name, const IdempotencyRecord& record)
+{
+    wire::KeyRecord encoded;
+    encoded.set_service(name.first);
+    encoded.set_key(name.second);
+    encoded.set_state(resultOf(record.state));
+    encoded.set_status(record.status);
+    encoded.set_fingerprint(record.fingerprint);
+    set(*encoded.mutable_holder(), record.holder);
+    encoded.set_request(record.request);
+    return encoded;
+}
+
+// A key that was not granted, or whose request is known not to have run, may be granted to another request.
+bool bindsKey(const IdempotencyRecord& record)
+{
+    return record.state != State::Fenced && record.state != State::Released;
+}
+
 }
 
 std::optional<PeerIdentity> keyCoordinator(
@@ -64,19 +103,20 @@
     return serviceHosts[ranked.front().index];
 }
 
-std::vector<PeerIdentity> hostsOfService(const Configuration& configuration, const std::string& service)
+std::vector<PeerIdentity> coordinatingHosts(const Configuration& configuration, const std::string& service)
 {
     std::vector<PeerIdentity> hosts;
+    std::vector<PeerIdentity> drainingHosts;
     for (const Host& host : configuration.hosts) {
         const bool serves
             = std::any_of(configuration.bindings.begin(), configuration.bindings.end(), [&](const Binding& binding) {
                   return binding.service == service && binding.selector.matches(host.labels);
               });
         if (serves) {
-            hosts.push_back({ host.name, host.incarnation });
+            (host.state == HostState::Draining ? drainingHosts : hosts).push_back({ host.name, host.incarnation });
         }
     }
-    return hosts;
+    return hosts.empty() ? drainingHosts : hosts;
 }
 
 KeyCoordinator::KeyCoordinator(PeerIdentity identity)
@@ -96,14 +136,14 @@
         known = std::move(this->formerHosts);
     }
     this->ownService = std::move(service);
-    this->currentHosts = hostsOfService(this->view->configuration(), this->ownService);
+    this->currentHosts = coordinatingHosts(this->view->configuration(), this->ownService);
     this->formerHosts.clear();
     for (const std::shared_ptr<const Configuration>& configuration : this->view->history()) {
         const auto cached = std::find_if(
             known.begin(), known.end(), [&](const HostSet& set) { return set.configuration == configuration; });
         this->formerHosts.push_back(cached != known.end()
                 ? *cached
-                : HostSet { configuration, hostsOfService(*configuration, this->ownService) });
+                : HostSet { configuration, coordinatingHosts(*configuration, this->ownService) });
     }
     // What was asked on the strength of the earlier history does not establish anything under the new one.
     std::map<KeyName, Pending> interrupted;
@@ -117,12 +157,99 @@
             again->second.started = acquisition.started;
         }
     }
+    this->handOn(now, messages);
     return messages;
 }
 
+KeyMessages KeyCoordinator::leave(TimePoint now)
+{
+    KeyMessages messages;
+    this->leaving = true;
+    this->handOn(now, messages);
+    return messages;
+}
+
+void KeyCoordinator::handOn(TimePoint now, KeyMessages& messages)
+{
+    const bool keepsKeys
+        = std::find(this->currentHosts.begin(), this->currentHosts.end(), this->self) != this->currentHosts.end();
+    if (!this->leaving || keepsKeys || this->currentHosts.empty()) {
+        return;
+    }
+    if (!this->handover) {
+        this->handover.emplace();
+        for (const auto& [name, record] : this->records.entries()) {
+            if (bindsKey(record)) {
+                this->handover->add(encode(name, record));
+            }
+        }
+    }
+    this->handover->setSuccessors(this->currentHosts);
+    const KeyMessages due = this->handover->send(now);
+    messages.insert(messages.end(), due.begin(), due.end());
+}
+
+bool KeyCoordinator::import(TimePoint now, const wire::KeyRecord& encoded)
+{
+    IdempotencyRecord record;
+    record.state = stateOf(encoded.state());
+    record.holder = { encoded.holder().instance(), encoded.holder().incarnation() };
+    record.request = encoded.request();
+    record.fingerprint = encoded.fingerprint();
+    record.status = encoded.status();
+    if (const IdempotencyRecord* known = this->records.find(encoded.service(), encoded.key())) {
+        const bool sameRequest = known->holder == record.holder && known->request == record.request;
+        // An own grant, or an outcome that is known already, is not older than what the other one knows.
+        if (bindsKey(*known) && !(known->state == State::Acquired && sameRequest)) {
+            return true;
+        }
+        record.fencedVersion = known->fencedVersion;
+    }
+    return this->records.put(now, encoded.service(), encoded.key(), record) != nullptr;
+}
+
+KeyMessages KeyCoordinator::retirement(TimePoint now, const PeerIdentity& from, const wire::KeyRetirement& message)
+{
+    KeyMessages messages;
+    Retiring& state = this->retiring[from];
+    state.lastHeard = now;
+    if (message.first() == state.received) {
+        for (const wire::KeyRecord& record : message.records()) {
+            if (!this->import(now, record)) {
+                break; // without room for its records the leaving coordinator must still be asked
+            }
+            ++state.received;
+        }
+    }
+    state.complete = state.complete || state.received == message.total();
+    KeyMessage& answer = messages.emplace_back(KeyMessage { from, {} });
+    answer.message.mutable_key_retirement_answer()->set_received(state.received);
+    if (!state.complete) {
+        return messages;
+    }
+    for (auto next = this->pending.begin(); next != this->pending.end();) {
+        const auto current = next++;
+        if (current->second.unanswered.erase(from) > 0 && current->second.unanswered.empty()) {
+            this->complete(now, current, messages);
+        }
+    }
+    return messages;
+}
+
+KeyMessages KeyCoordinator::retirementAnswer(
+    TimePoint now, const PeerIdentity& successor, const wire::KeyRetirementAnswer& answer)
+{
+    if (!this->handover) {
+        return {};
+    }
+    this->handover->acknowledged(successor, answer.received());
+    return this->handover->send(now);
+}
+
 bool KeyCoordinator::isCoordinator(const std::string& service, const std::string& key) const
 {
-    return this->view && service == this->ownService && keyCoordinator(this->currentHosts, service, key) == this->self;
+    return this->view && !this->handover && service == this->ownService
+        && keyCoordinator(this->currentHosts, service, key) == this->self;
 }
 
 std::set<PeerIdentity> KeyCoordinator::formerCoordinators(const std::string& service, const std::string& key) const
@@ -130,7 +257,11 @@
     std::set<PeerIdentity> formers;
     for (const HostSet& set : this->formerHosts) {
         const std::optional<PeerIdentity> former = keyCoordinator(set.hosts, service, key);
-        if (former && *former != this->self) {
+        if (!former || *former == this->self) {
+            continue;
+        }
+        const auto retired = this->retiring.find(*former);
+        if (retired == this->retiring.end() || !retired->second.complete) {
             formers.insert(*former);
         }
     }
@@ -264,6 +395,11 @@
     answer.set_query(question.query());
     answer.set_result(result);
     answer.set_status(status);
+    for (const auto& [identity, state] : this->retiring) {
+        if (state.complete) {
+            set(*answer.add_retired(), identity);
+        }
+    }
     return messages;
 }
 
@@ -275,8 +411,8 @@
         || found->second.unanswered.erase(former) == 0) {
         return messages;
     }
-    const Pending acquisition = found->second;
     if (answer.result() != wire::KeyAnswer::FENCED) {
+        const Pending acquisition = found->second;
         this->pending.erase(found);
         IdempotencyRecord record;
         record.status = answer.status();
@@ -288,11 +424,26 @@
         reply(messages, acquisition.holder, acquisition.request, answer.result(), {}, answer.status());
         return messages;
     }
-    if (!acquisition.unanswered.empty()) {
-        return messages;
+    for (const wire::Sender& retired : answer.retired()) {
+        found->second.unanswered.erase({ retired.instance(), retired.incarnation() });
+    }
+    if (found->second.unanswered.empty()) {
+        this->complete(now, found, messages);
+    }
+    return messages;
+}
+
+// Each former coordinator has promised the key.
+void KeyCoordinator::complete(TimePoint now, std::map<KeyName, Pending>::iterator asked, KeyMessages& messages)
+{
+    const Pending acquisition = asked->second;
+    const auto [service, key] = asked->first;
+    this->pending.erase(asked);
+    const IdempotencyRecord* record = this->records.find(service, key);
+    if (record != nullptr && bindsKey(*record)) {
+        this->answerRecord(acquisition.holder, acquisition.request, *record, messages);
+        return;
     }
-    this->pending.erase(found);
-    const IdempotencyRecord* record = this->records.find(answer.service(), answer.key());
     const bool stillOpen
         = record == nullptr || (record->state == State::Fenced && record->fencedVersion < acquisition.version);
     if (stillOpen && acquisition.version == this->version()) {
@@ -300,7 +451,6 @@
     } else {
         reply(messages, acquisition.holder, acquisition.request, Result::REFUSED, "not_coordinator");
     }
-    return messages;
 }
 
 KeyMessages KeyCoordinator::finish(TimePoint now, const PeerIdentity& holder, const wire::KeyFinish& end)
@@ -318,6 +468,9 @@
         record->state = end.outcome() == wire::KeyFinish::COMPLETED ? State::Completed
             : end.outcome() == wire::KeyFinish::NOT_RUN             ? State::Released
                                                                     : State::Unknown;
+        if (this->handover) {
+            this->handover->add(encode({ end.service(), end.key() }, *record));
+        }
     }
     // The answer without a result tells the holder that the end is recorded.
     KeyMessages messages;
@@ -349,9 +502,16 @@
         }
         ++entry;
     }
+    if (this->handover) {
+        const KeyMessages due = this->handover->send(now);
+        messages.insert(messages.end(), due.begin(), due.end());
+    }
     if (now >= this->nextExpiry && this->view) {
         this->nextExpiry = now + expiryInterval;
-        this->records.expire(now, this->view->configuration().retention, this->version());
+        const auto retention = this->view->configuration().retention;
+        this->records.expire(now, retention, this->version());
+        // A coordinator is asked for as long as it belongs to a configuration within the retention.
+        std::erase_if(this->retiring, [&](const auto& item) { return now - item.second.lastHeard > 2 * retention; });
     }
     return messages;
 }
@@ -362,7 +522,7 @@
     for (const auto& [name, acquisition] : this->pending) {
         next = std::min(next, acquisition.lastAsked + fenceRepeat);
     }
-    return next;
+    return this->handover ? std::min(next, this->handover->nextTimeout()) : next;
 }
 
 }
--- a/src/coordination/KeyCoordinator.h
+++ b/src/coordination/KeyCoordinator.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "coordination/KeyMessage.h"
+#include "coordination/KeyRetirement.h"
 #include "coordination/PeerIdentity.h"
 #include "messages.pb.h"
 #include "state/IdempotencyRecords.h"
@@ -20,24 +22,18 @@
 class ConfigurationView;
 struct Configuration;
 
-// A message about keys; the recipient may be this process.
-struct KeyMessage {
-    PeerIdentity to;
-    wire::PeerMessage message;
-};
-
-using KeyMessages = std::vector<KeyMessage>;
-
-// The host that may grant a key under a configuration: the first-ranked host of the service, active or draining. Null
-// when the service has no host.
+// The host that may grant a key under a configuration: the first-ranked one of the coordinating hosts. Null when there
+// is none.
 std::optional<PeerIdentity> keyCoordinator(
-    const std::vector<PeerIdentity>& serviceHosts, const std::string& service, const std::string& key);
+    const std::vector<PeerIdentity>& hosts, const std::string& service, const std::string& key);
 
-// The hosts of a service under a configuration, for any caller group.
-std::vector<PeerIdentity> hostsOfService(const Configuration&, const std::string& service);
+// The hosts that coordinate the keys of a service under a configuration: its active hosts, or the draining ones when it
+// has no other.
+std::vector<PeerIdentity> coordinatingHosts(const Configuration&, const std::string& service);
 
 // Grants each idempotency key of which this host is the coordinator to one request. Before the first grant of a key it
-// asks every host that was the key's coordinator under a configuration within the retention to fence the key.
+// asks every host that was the key's coordinator under a configuration within the retention to fence the key. A
+// coordinator that leaves as planned hands its records to the others, which then need not ask it.
 class KeyCoordinator {
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
@@ -55,6 +51,15 @@
 
     void holderRestarted(TimePoint, const PeerIdentity& current);
 
+    // This process leaves. As soon as the configuration gives its keys to others, it grants none and hands its records
+    // on.
+    KeyMessages leave(TimePoint);
+    KeyMessages retirement(TimePoint, const PeerIdentity& leaving, const wire::KeyRetirement&);
+    KeyMessages retirementAnswer(TimePoint, const PeerIdentity& successor, const wire::KeyRetirementAnswer&);
+
+    // Whether a leaving process still has records to hand on.
+    bool isHandingOn() const { return this->handover && !this->handover->isComplete(); }
+
     // Repeats unanswered questions and refuses what cannot be established in time.
     KeyMessages tick(TimePoint);
     TimePoint nextTimeout() const;
@@ -80,12 +85,22 @@
 
     using KeyName = std::pair<std::string, std::string>; // service, key
 
+    // A coordinator that leaves and hands its records to this process.
+    struct Retiring {
+        std::uint64_t received { 0 }; // records
+        bool complete { false };
+        TimePoint lastHeard;
+    };
+
     std::set<PeerIdentity> formerCoordinators(const std::string& service, const std::string& key) const;
     bool isCoordinator(const std::string& service, const std::string& key) const;
     std::uint64_t version() const;
     void establish(TimePoint, const PeerIdentity& holder, const wire::KeyAcquire&, KeyMessages&);
     void grant(TimePoint, const PeerIdentity& holder, const wire::KeyAcquire&, KeyMessages&);
     void ask(TimePoint, Pending&, KeyMessages&);
+    void complete(TimePoint, std::map<KeyName, Pending>::iterator, KeyMessages&);
+    void handOn(TimePoint, KeyMessages&);
+    bool import(TimePoint, const wire::KeyRecord&);
     void answerRecord(const PeerIdentity& holder, const wire::KeyAcquire&, const IdempotencyRecord&, KeyMessages&);
 
     PeerIdentity self;
@@ -97,6 +112,9 @@
     IdempotencyRecords records;
     std::map<KeyName, Pending> pending;
     std::uint64_t nextQuery { 1 };
+    bool leaving { false };
+    std::optional<KeyRetirement> handover;
+    std::map<PeerIdentity, Retiring> retiring;
     TimePoint nextExpiry;
 };
 
--- a/src/coordination/KeyRequests.cpp
+++ b/src/coordination/KeyRequests.cpp
@@ -15,6 +15,9 @@
 
 constexpr std::chrono::milliseconds finishRepeat { 200 };
 constexpr unsigned mostReports = 50;
+
+// A coordinator that has recorded no report by then may have left; its successors hold the record.
+constexpr unsigned reportsToOneCoordinator = 5;
 constexpr std::chrono::seconds reportedMemory { 30 };
 
 // Renews the coordinator's record of a request in progress, well within the shortest useful retention.
@@ -167,7 +170,7 @@
             // Another coordinator is asked only when the last one is known not to have granted the key.
             if (!entry.mayHold) {
                 entry.coordinator
-                    = keyCoordinator(hostsOfService(*configuration, entry.service), entry.service, entry.key);
+                    = keyCoordinator(coordinatingHosts(*configuration, entry.service), entry.service, entry.key);
             }
             if (entry.coordinator) {
                 sendAcquire(now, request, entry, result.messages);
@@ -176,6 +179,10 @@
             sendAcquire(now, request, entry, result.messages);
         } else if (entry.state == State::Reporting && idle >= finishRepeat) {
             if (entry.reports < mostReports) {
+                if (entry.reports % reportsToOneCoordinator == 0 && configuration != nullptr) {
+                    const auto hosts = coordinatingHosts(*configuration, entry.service);
+                    entry.coordinator = keyCoordinator(hosts, entry.service, entry.key).value_or(*entry.coordinator);
+                }
                 sendFinish(now, request, entry, result.messages);
             } else {
                 this->entries.erase(current);
--- a/src/coordination/RequestHolder.cpp
+++ b/src/coordination/RequestHolder.cpp
@@ -189,7 +189,7 @@
     this->startWait(now, held);
     if (description.idempotencyKey) {
         const std::vector<PeerIdentity> serviceHosts
-            = hostsOfService(this->context.view->configuration(), description.service);
+            = coordinatingHosts(this->context.view->configuration(), description.service);
         const KeyMessages asked = this->keyRequests.acquire(now, description.request, description.service,
             *description.idempotencyKey, description.fingerprint, serviceHosts);
         this->keyMessages.insert(this->keyMessages.end(), asked.begin(), asked.end());
--- a/src/coordination/RequestPlacement.cpp
+++ b/src/coordination/RequestPlacement.cpp
@@ -44,6 +44,7 @@
     void tick(TimePoint);
     TimePoint nextTimeout() const;
     std::size_t requestsInFlight() const;
+    bool isHandingOnKeys() const { return this->keys.isHandingOn(); }
 
     RequestHolder& requestHolder() { return this->holder; }
 
@@ -193,6 +194,12 @@
     case wire::PeerMessage::kKeyFenceAnswer:
         this->deliver(now, this->keys.fenceAnswer(now, from, message.key_fence_answer()));
         break;
+    case wire::PeerMessage::kKeyRetirement:
+        this->deliver(now, this->keys.retirement(now, from, message.key_retirement()));
+        break;
+    case wire::PeerMessage::kKeyRetirementAnswer:
+        this->deliver(now, this->keys.retirementAnswer(now, from, message.key_retirement_answer()));
+        break;
     default:
         this->context.metrics.drops("placement", "unexpected_message").Increment();
         break;
@@ -290,6 +297,7 @@
 {
     this->draining = true;
     this->slots.setClaiming(false);
+    this->deliver(now, this->keys.leave(now));
     this->sendHeartbeats(now);
 }
 
@@ -459,4 +467,6 @@
 
 std::size_t RequestPlacement::requestsInFlight() const { return this->implementation->requestsInFlight(); }
 
+bool RequestPlacement::isHandingOnKeys() const { return this->implementation->isHandingOnKeys(); }
+
 }
--- a/src/coordination/RequestPlacement.h
+++ b/src/coordination/RequestPlacement.h
@@ -65,6 +65,9 @@
     // Requests held or run here that have not ended.
     std::size_t requestsInFlight() const;
 
+    // Whether this host leaves and other hosts have not received all of its idempotency records yet.
+    bool isHandingOnKeys() const;
+
 private:
     class Implementation;
     std::unique_ptr<Implementation> implementation;
--- a/src/state/IdempotencyRecords.h
+++ b/src/state/IdempotencyRecords.h
@@ -53,8 +53,11 @@
 
     std::size_t size() const { return this->records.size(); }
 
+    // By service and key.
+    const std::map<std::pair<std::string, std::string>, IdempotencyRecord>& entries() const { return this->records; }
+
 private:
-    std::map<std::pair<std::string, std::string>, IdempotencyRecord> records; // by service and key
+    std::map<std::pair<std::string, std::string>, IdempotencyRecord> records;
 };
 
 }
--- /dev/null
+++ b/test/unit/LeavingCoordinatorHandsItsKeysOn.cpp
@@ -0,0 +1,158 @@
+// Guards P1 and P5 at a planned removal: the keys of a coordinator that has left stay usable, and what it granted stays
+// known.
+
+#include "PlacementFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace chicoryferry;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+RequestDescription correction(const PlacementFixture& fleet, std::uint64_t request, const std::string& key)
+{
+    RequestDescription description = fleet.describe(request);
+    description.method = "POST";
+    description.target = "/correction";
+    description.route.repeatable = false;
+    description.idempotencyKey = key;
+    description.fingerprint = 7;
+    return description;
+}
+
+std::string keyName(std::uint64_t number) { return "key-" + std::to_string(number); }
+
+constexpr std::uint64_t keyCount = 30;
+
+// Runs one request for each key.
+void useKeys(PlacementFixture& fleet)
+{
+    for (std::uint64_t request = 1; request <= keyCount; ++request) {
+        fleet.arrive("host-1", correction(fleet, request, keyName(request)));
+        fleet.settle();
+        fleet.endRun(request, RunOutcome::Completed, 201);
+        fleet.settle();
+    }
+    REQUIRE(fleet.runs().size() == keyCount);
+}
+
+void drain(PlacementFixture& fleet, unsigned host)
+{
+    fleet.history.insert(fleet.history.begin(), std::make_shared<Configuration>(fleet.configuration));
+    ++fleet.configuration.version;
+    fleet.configuration.hosts[host].state = HostState::Draining;
+    for (const Host& any : fleet.configuration.hosts) {
+        fleet.publishTo(any.name);
+    }
+    fleet.settle();
+}
+
+void leave(PlacementFixture& fleet, unsigned host)
+{
+    const std::string name = fleet.configuration.hosts[host].name;
+    fleet.startDraining(name);
+    fleet.pass(seconds(1));
+    CHECK_FALSE(fleet.placement(name).isHandingOnKeys());
+    fleet.silenced[name] = true;
+}
+
+// Each old key must be answered with its outcome and each new one must run.
+void checkKeys(PlacementFixture& fleet, std::uint64_t firstRequest)
+{
+    const std::size_t runsBefore = fleet.runs().size();
+    const std::size_t refusalsBefore = fleet.refusals().size();
+    for (std::uint64_t number = 1; number <= keyCount; ++number) {
+        fleet.arrive("host-1", correction(fleet, firstRequest + number, keyName(number)));
+        fleet.pass(milliseconds(20));
+    }
+    fleet.pass(seconds(2));
+    CHECK(fleet.runs().size() == runsBefore);
+    REQUIRE(fleet.refusals().size() == refusalsBefore + keyCount);
+    for (std::size_t index = refusalsBefore; index < fleet.refusals().size(); ++index) {
+        CHECK(fleet.refusals()[index].reason == "key_completed");
+        CHECK(fleet.refusals()[index].completedStatus == 201);
+    }
+    for (std::uint64_t number = 1; number <= keyCount; ++number) {
+        const std::uint64_t request = firstRequest + keyCount + number;
+        fleet.arrive("host-1", correction(fleet, request, keyName(firstRequest + number)));
+        fleet.pass(milliseconds(20));
+        fleet.endRun(request, RunOutcome::Completed);
+    }
+    CHECK(fleet.runs().size() == runsBefore + keyCount);
+}
+
+}
+
+TEST_CASE("keys go on after their coordinator has left as planned")
+{
+    PlacementFixture fleet(3, 4);
+    fleet.settle();
+    useKeys(fleet);
+    drain(fleet, 0);
+    leave(fleet, 0);
+    checkKeys(fleet, 1000);
+}
+
+TEST_CASE("keys go on after two coordinators have left one after the other")
+{
+    PlacementFixture fleet(4, 4);
+    fleet.settle();
+    useKeys(fleet);
+    drain(fleet, 0);
+    leave(fleet, 0);
+    drain(fleet, 2);
+    leave(fleet, 2);
+    checkKeys(fleet, 1000);
+}
+
+TEST_CASE("a host that joins after a coordinator has left learns from the others what it granted")
+{
+    PlacementFixture fleet(3, 4);
+    fleet.settle();
+    useKeys(fleet);
+    drain(fleet, 0);
+    leave(fleet, 0);
+    fleet.history.insert(fleet.history.begin(), std::make_shared<Configuration>(fleet.configuration));
+    ++fleet.configuration.version;
+    fleet.configuration.hosts.push_back(fleet.makeHost("host-3"));
+    fleet.start("host-3", 1);
+    fleet.publishTo("host-1");
+    fleet.publishTo("host-2");
+    fleet.settle();
+    checkKeys(fleet, 1000);
+}
+
+TEST_CASE("records are handed on although messages are lost")
+{
+    PlacementFixture fleet(3, 4);
+    fleet.settle();
+    useKeys(fleet);
+    drain(fleet, 0);
+    fleet.silenced["host-2"] = true;
+    fleet.startDraining("host-0");
+    fleet.pass(seconds(1));
+    CHECK(fleet.placement("host-0").isHandingOnKeys());
+    fleet.silenced.erase("host-2");
+    leave(fleet, 0);
+    checkKeys(fleet, 1000);
+}
+
+// A request that is in progress when the records are handed on must stay known, and its end must reach the successor.
+TEST_CASE("the end of a request that was in progress at the handover reaches the successor")
+{
+    PlacementFixture fleet(3, 40);
+    fleet.settle();
+    for (std::uint64_t request = 1; request <= keyCount; ++request) {
+        fleet.arrive("host-1", correction(fleet, request, keyName(request)));
+        fleet.settle();
+    }
+    drain(fleet, 0);
+    leave(fleet, 0);
+    for (std::uint64_t request = 1; request <= keyCount; ++request) {
+        fleet.endRun(request, RunOutcome::Completed, 201);
+    }
+    fleet.pass(seconds(5));
+    checkKeys(fleet, 1000);
+}
--- a/test/unit/RandomNetworkKeepsPromises.cpp
+++ b/test/unit/RandomNetworkKeepsPromises.cpp
@@ -33,6 +33,7 @@
     unsigned pauses { 0 }; // begin in a step of 10 ms
     unsigned partitions { 0 };
     unsigned restarts { 0 };
+    unsigned leaves { 0 }; // planned: drained, terminated, and started again
     unsigned changes { 0 }; // of the configuration
     unsigned failures { 0 }; // of runs
     unsigned callersGone { 0 };
@@ -58,6 +59,8 @@
     std::uint64_t version { 0 };
     TimePoint pausedUntil;
     bool drainingKnown { false };
+    std::uint64_t leavesAt { 0 }; // version under which it is drained before it leaves; 0: it stays
+    bool terminating { false };
     std::set<std::uint64_t> running; // indices of runs that hold a slot
     std::vector<std::uint64_t> held; // requests that have not ended
 };
@@ -169,6 +172,8 @@
         agent.placement = std::make_unique<RequestPlacement>(agent.identity, this->metrics);
         agent.pausedUntil = {};
         agent.drainingKnown = false;
+        agent.leavesAt = 0;
+        agent.terminating = false;
         agent.version = 0;
         this->publish(agent, this->versions.size());
     }
@@ -203,6 +208,9 @@
         if (this->chance(this->hazards.changes)) {
             this->changeConfiguration();
         }
+        if (this->chance(this->hazards.leaves) && agent.leavesAt == 0) {
+            this->drain(agent);
+        }
         for (auto& [name, other] : this->agents) {
             if (other.version < this->versions.size() && this->below(100) < 5) {
                 this->publish(other, other.version + 1 + this->below(this->versions.size() - other.version));
@@ -219,6 +227,7 @@
         for (Host& host : next.hosts) {
             if (host.name == name) {
                 host.incarnation = incarnation;
+                host.state = agent.terminating ? HostState::Active : host.state;
             }
         }
         // The platform may notice the restart before or after the process is back.
@@ -231,6 +240,34 @@
         }
     }
 
+    void drain(Agent& agent)
+    {
+        Configuration next = *this->versions.back();
+        next.version = this->versions.size() + 1;
+        for (Host& host : next.hosts) {
+            if (host.name == agent.identity.instance) {
+                host.state = HostState::Draining;
+            }
+        }
+        this->versions.push_back(std::make_shared<Configuration>(next));
+        agent.leavesAt = next.version;
+    }
+
+    // SIGTERM once the drain is in force here, and the end of the process when nothing is left to do.
+    void proceedWithLeaving(Agent& agent)
+    {
+        if (agent.leavesAt == 0 || agent.version < agent.leavesAt) {
+            return;
+        }
+        if (!agent.terminating) {
+            agent.terminating = true;
+            this->carryOut(agent, agent.placement->startDraining(this->now));
+        } else if (agent.held.empty() && agent.placement->requestsInFlight() == 0
+            && !agent.placement->isHandingOnKeys()) {
+            this->restart(agent);
+        }
+    }
+
     void changeConfiguration()
     {
         Configuration next = *this->versions.back();
@@ -308,6 +345,7 @@
                 this->carryOut(agent, agent.placement->callerGone(this->now, request));
             }
             this->carryOut(agent, agent.placement->tick(this->now));
+            this->proceedWithLeaving(agent);
         }
     }
 
@@ -503,6 +541,7 @@
     hazards.pauses = rate(30);
     hazards.partitions = rate(20);
     hazards.restarts = rate(15);
+    hazards.leaves = rate(15);
     hazards.changes = rate(50);
     hazards.failures = rate(200);
     hazards.callersGone = rate(50);
