A copy of a first packet older than the route's timeout may not wait for a slot

Cause: found by reading. The limit of the wait became negative and was sent unsigned, so that an agent could hold the flow for weeks; a route's timeout below 600 ms is enough. The test fails before (-60 ms) and passes after.

--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -145,7 +145,8 @@
             const FlowRoute* route = this->directory.route(key.service);
             const auto limit = route == nullptr
                 ? std::chrono::milliseconds(0)
-                : waitLimit(*route, FlowUrgency::Late, ageOfCopy(packet.acknowledgement));
+                : std::max(std::chrono::milliseconds(0),
+                    waitLimit(*route, FlowUrgency::Late, ageOfCopy(packet.acknowledgement)));
             actions.emplace_back(SteerPacket { flow->second.owners.front(), SteeringPurpose::NewFlow,
                 serviceHash(flow->second.service), limit, 0, FlowUrgency::Late, 0, datagram });
             return;
--- a/test/unit/FlowsAreNotResetWhileTheyMayBeOpen.cpp
+++ b/test/unit/FlowsAreNotResetWhileTheyMayBeOpen.cpp
@@ -21,11 +21,11 @@
 
 // A balancer with two agents, and the actions of its last call.
 struct Balancer {
-    Balancer()
+    explicit Balancer(milliseconds timeout = milliseconds(1000))
     {
         RouteTable table;
         table.version = 1;
-        table.routes[route] = { "job", true, milliseconds(100), milliseconds(1000), 1 };
+        table.routes[route] = { "job", true, milliseconds(100), timeout, 1 };
         this->directory.apply(RouteTableWritten { table }, start);
         std::vector<FlowPlacement::Agent> agents;
         for (std::uint32_t number = 1; number <= 2; ++number) {
@@ -35,10 +35,11 @@
         this->placement.setAgents(agents, start);
     }
 
-    void send(bool first)
+    void send(bool first, std::uint32_t copies = 0)
     {
         this->actions.clear();
         FlowPacket packet;
+        packet.acknowledgement = copies;
         packet.source = caller;
         packet.destination = route;
         packet.opens = first;
@@ -121,3 +122,15 @@
     CHECK(balancer.resets());
     CHECK(balancer.steering.openingCount() == 0);
 }
+
+// Guards against a negative wait limit, which the agent reads as one of weeks: the caller's second copy is older than the
+// timeout of the route.
+TEST_CASE("a copy that is older than the route's timeout may not wait for a slot")
+{
+    Balancer balancer { milliseconds(500) };
+    balancer.send(true);
+    balancer.verdict(balancer.asked(), FlowVerdict::Admitted, milliseconds(2));
+    balancer.send(true, 2);
+    REQUIRE(balancer.actions.size() == 1);
+    CHECK(std::get<SteerPacket>(balancer.actions.back()).waitLimit == milliseconds(0));
+}
