--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -81,7 +81,8 @@
 
 void BalancerNode::publishSnapshot()
 {
-    std::string encoded = encodeSnapshot(this->directory, this->reader.revision());
+    this->snapshotRevision = this->reader.revision();
+    std::string encoded = encodeSnapshot(this->directory, this->snapshotRevision);
     const std::lock_guard lock(this->snapshotMutex);
     this->encodedSnapshot = std::move(encoded);
 }
@@ -148,6 +149,7 @@
             { { "configuration", static_cast<std::int64_t>(this->directory.routes().version) },
                 { "hosts", static_cast<std::int64_t>(agents.size()) } });
     }
+    this->publishSnapshot();
     this->nextHello = now; // tells peers of the change at once
     this->steering.retryWaiting(now, this->actions);
     this->perform();
@@ -164,7 +166,8 @@
         const bool opens = packet.purpose == SteeringPurpose::NewFlow;
         this->log.log(EventLog::Importance::Routine, opens ? "flow_offered" : "flow_searched",
             { { "flow", formatFlow(decoded->keyFromCaller()) }, { "agent", formatEndpoint(packet.agent) },
-                { "wait_limit_ms", packet.waitLimit.count() }, { "copy", opens ? decoded->acknowledgement : 0 },
+                { "wait_limit_ms", packet.waitLimit.count() }, { "expected_wait_us", packet.expectedWait.count() },
+                { "load_age_ms", packet.loadAge.count() }, { "copy", opens ? decoded->acknowledgement : 0 },
                 { "configuration", static_cast<std::int64_t>(this->directory.routes().version) } });
     }
 }
@@ -263,7 +266,9 @@
 void BalancerNode::sendHellos(TimePoint now)
 {
     this->nextHello = now + helloInterval;
-    this->publishSnapshot();
+    if (this->snapshotRevision != this->reader.revision()) {
+        this->publishSnapshot();
+    }
     HelloMessage message { { this->lifetime, this->reader.revision(), this->reader.available() }, {} };
     for (const Endpoint& peer : this->peers.livePeers(now, mostPeersTold)) {
         message.balancers.push_back(peer.address);
--- a/src/app/BalancerNode.h
+++ b/src/app/BalancerNode.h
@@ -83,6 +83,7 @@
     bool stopping { false };
     mutable std::mutex snapshotMutex; // the snapshot is read by the threads that serve HTTP
     std::string encodedSnapshot;
+    std::uint64_t snapshotRevision { 0 }; // of the store, at which the snapshot was encoded
     std::atomic<bool> ready { false };
     std::atomic<std::uint64_t> configurationVersion { 0 };
     std::atomic<std::uint64_t> flowCount { 0 };
--- a/src/app/SteeringMessages.cpp
+++ b/src/app/SteeringMessages.cpp
@@ -156,7 +156,7 @@
         const wire::SteeredPacket& head = this->header->packet();
         return SteerPacket { {}, fromWire(head.purpose()), head.service(),
             std::chrono::milliseconds(head.wait_limit_ms()), head.priority(),
-            head.late() ? FlowUrgency::Late : FlowUrgency::InTime, head.slots(), *payload };
+            head.late() ? FlowUrgency::Late : FlowUrgency::InTime, head.slots(), {}, {}, *payload };
     }
     if (this->header->has_report()) {
         auto report = readReport(this->header->report());
--- a/src/coordination/FlowPlacement.cpp
+++ b/src/coordination/FlowPlacement.cpp
@@ -117,8 +117,10 @@
         std::chrono::microseconds wait {};
         const double agentCost = this->cost(state, urgency, now, wait);
         if (!best || agentCost < bestCost) {
-            best = PlacementChoice { address, wait,
-                std::chrono::duration_cast<std::chrono::milliseconds>(now - state.reportedAt), state.host.slots };
+            const auto age = state.reported
+                ? std::chrono::duration_cast<std::chrono::milliseconds>(now - state.reportedAt)
+                : std::chrono::milliseconds(-1);
+            best = PlacementChoice { address, wait, age, state.host.slots };
             bestCost = agentCost;
         }
     }
--- a/src/coordination/FlowPlacement.h
+++ b/src/coordination/FlowPlacement.h
@@ -21,7 +21,7 @@
 struct PlacementChoice {
     Endpoint agent;
     std::chrono::microseconds expectedWait { 0 }; // for a slot
-    std::chrono::milliseconds loadAge { 0 }; // of the report that decided
+    std::chrono::milliseconds loadAge { 0 }; // of the report that decided; negative: there is none
     std::uint32_t slots { 1 };
 };
 
--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -129,7 +129,7 @@
     opening.deadline = now + verdictTimeout;
     this->placement.sent(choice->agent);
     actions.emplace_back(SteerPacket { choice->agent, SteeringPurpose::NewFlow, serviceHash(route->service), limit,
-        route->priority, urgency, choice->slots, opening.datagram });
+        route->priority, urgency, choice->slots, choice->expectedWait, choice->loadAge, opening.datagram });
     return true;
 }
 
@@ -148,7 +148,7 @@
                 : std::max(std::chrono::milliseconds(0),
                     waitLimit(*route, FlowUrgency::Late, ageOfCopy(packet.acknowledgement)));
             actions.emplace_back(SteerPacket { flow->second.owners.front(), SteeringPurpose::NewFlow,
-                serviceHash(flow->second.service), limit, 0, FlowUrgency::Late, 0, datagram });
+                flow->second.service, limit, 0, FlowUrgency::Late, 0, {}, {}, datagram });
             return;
         }
         this->flows.erase(flow);
@@ -194,7 +194,7 @@
         const auto purpose = ambiguous ? SteeringPurpose::Search : SteeringPurpose::KnownFlow;
         for (const Endpoint& owner : ambiguous ? flow.opening->tried : flow.owners) {
             actions.emplace_back(
-                SteerPacket { owner, purpose, serviceHash(flow.service), {}, 0, FlowUrgency::InTime, 0, datagram });
+                SteerPacket { owner, purpose, flow.service, {}, 0, FlowUrgency::InTime, 0, {}, {}, datagram });
         }
         return;
     }
@@ -208,13 +208,12 @@
     // The caller has the answer of a backend server: the flow is open at one of the agents that were asked.
     this->openings.erase(key);
     Flow& flow = this->flows[key];
-    flow.service = route->service;
+    flow.service = serviceHash(route->service);
     flow.lastPacket = now;
     flow.lastAcknowledgement = packet.acknowledgement;
-    const std::uint64_t service = serviceHash(route->service);
     for (const Endpoint& agent : this->placement.agentsOf(route->service)) {
-        actions.emplace_back(
-            SteerPacket { agent, SteeringPurpose::Search, service, {}, 0, FlowUrgency::InTime, 0, datagram });
+        actions.emplace_back(SteerPacket {
+            agent, SteeringPurpose::Search, flow.service, {}, 0, FlowUrgency::InTime, 0, {}, {}, datagram });
     }
 }
 
@@ -240,8 +239,8 @@
     Flow& flow = this->flows[key];
     flow.lastPacket = now;
     const FlowRoute* route = this->directory.route(key.service);
-    if (flow.service.empty() && route != nullptr) {
-        flow.service = route->service;
+    if (flow.service == 0 && route != nullptr) {
+        flow.service = serviceHash(route->service);
     }
     return flow;
 }
--- a/src/coordination/FlowSteering.h
+++ b/src/coordination/FlowSteering.h
@@ -66,7 +66,7 @@
 
     struct Flow {
         std::vector<Endpoint> owners; // more than one while several agents admitted the flow
-        std::string service;
+        std::uint64_t service { 0 }; // serviceHash(); 0: not known
         TimePoint lastPacket;
         std::uint32_t lastAcknowledgement { 0 };
         bool closing { false };
--- a/src/coordination/SteeringAction.h
+++ b/src/coordination/SteeringAction.h
@@ -28,6 +28,8 @@
     std::uint32_t priority { 0 }; // new flow: 0 is the highest
     FlowUrgency urgency { FlowUrgency::InTime }; // new flow
     std::uint32_t slots { 0 }; // new flow: of the backend server, as it publishes them
+    std::chrono::microseconds expectedWait { 0 }; // new flow: for a slot, as the agent's report says; not sent on
+    std::chrono::milliseconds loadAge { 0 }; // new flow: of that report, negative: there is none; not sent on
     std::span<const std::uint8_t> datagram;
 };
 
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -56,8 +56,6 @@
     // By id. Of several entries with one address the newest lifetime counts; the others are not contained.
     std::vector<const KnownHost*> hosts() const;
 
-    std::size_t hostCount() const { return this->known.size(); }
-
     // Living hosts are back in the store about 2 s after its return; a host that is gone must be out of use after 3 s.
     static constexpr std::chrono::milliseconds returnGrace { 2200 };
 
--- a/src/support/EventLog.h
+++ b/src/support/EventLog.h
@@ -32,8 +32,6 @@
     // Hands the buffered lines to the descriptor, as far as it takes them.
     void flush();
 
-    std::uint64_t suppressed() const { return this->suppressedCount; }
-
 private:
     bool takeBudget(Importance, std::chrono::steady_clock::time_point now);
     void append(std::string_view event, std::initializer_list<Field> fields);
--- a/src/transport/BackendConnection.cpp
+++ b/src/transport/BackendConnection.cpp
@@ -1,9 +1,9 @@
 #include "transport/BackendConnection.h"
 
 #include "protocol/HopByHopHeaders.h"
+#include "transport/SocketAddress.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <cerrno>
 #include <fmt/format.h>
 #include <netinet/in.h>
@@ -32,10 +32,7 @@
     }
     const int one = 1;
     setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(server.port);
-    address.sin_addr.s_addr = htonl(server.address);
+    const sockaddr_in address = toSocketAddress(server);
     const int result = connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
     if (result != 0 && errno != EINPROGRESS) {
         close(descriptor);
