--- a/test/unit/FlowsAreNotResetWhileTheyMayBeOpen.cpp
+++ b/test/unit/FlowsAreNotResetWhileTheyMayBeOpen.cpp
@@ -123,8 +123,8 @@
     CHECK(balancer.steering.openingCount() == 0);
 }
 
-// Guards against a negative wait limit, which the agent reads as one of weeks: the caller's second copy is older than the
-// timeout of the route.
+// Guards against a negative wait limit, which the agent reads as one of weeks: the caller's second copy is older than
+// the timeout of the route.
 TEST_CASE("a copy that is older than the route's timeout may not wait for a slot")
 {
     Balancer balancer { milliseconds(500) };
