--- a/test/integration/ChildProcess.cpp
+++ b/test/integration/ChildProcess.cpp
@@ -19,10 +19,11 @@
 constexpr std::size_t quotedLines = 12;
 constexpr std::size_t keptLines = 200'000;
 
-[[noreturn]] void runCommand(std::vector<char*>& words, int errorOutput)
+[[noreturn]] void runCommand(std::vector<char*>& words, int output)
 {
     prctl(PR_SET_PDEATHSIG, SIGKILL);
-    dup2(errorOutput, STDERR_FILENO);
+    dup2(output, STDOUT_FILENO);
+    dup2(output, STDERR_FILENO);
     sigset_t none;
     sigemptyset(&none);
     sigprocmask(SIG_SETMASK, &none, nullptr);
--- /dev/null
+++ b/test/integration/NodesServeThePlatform.cpp
@@ -0,0 +1,241 @@
+// The roles of the users' platform as real processes, between a store, a caller and a backend server that the test
+// plays. Guards against packets that are changed on their way, against flows without a route that are left without an
+// answer, and against settings that are not taken up or end the process when they are bad.
+
+#include "ChildProcess.h"
+#include "StoreStandin.h"
+#include "protocol/Endpoint.h"
+#include "transport/SocketAddress.h"
+#include "transport/UdpSocket.h"
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <cstdint>
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <fmt/format.h>
+#include <fstream>
+#include <poll.h>
+#include <random>
+#include <string>
+#include <unistd.h>
+#include <vector>
+
+using namespace chicoryferry;
+using namespace chicoryferry::integration;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+using Bytes = std::vector<std::uint8_t>;
+
+constexpr std::uint8_t flagSyn = 2;
+constexpr std::uint8_t flagReset = 32;
+constexpr std::uint8_t flagAcknowledge = 64;
+constexpr std::size_t flagsOffset = 28;
+constexpr std::size_t mostPayload = 1200;
+constexpr std::size_t headBytes = 32;
+
+// The users' example of a first packet gives offsets and byte order.
+Bytes makePacket(const Endpoint& from, const Endpoint& to, std::uint32_t sequence, std::uint32_t acknowledgement,
+    std::uint8_t flags, const Bytes& payload, std::mt19937& random)
+{
+    Bytes bytes;
+    const auto append = [&bytes](std::uint32_t value, int count) {
+        for (int index = 0; index < count; ++index) {
+            bytes.push_back(static_cast<std::uint8_t>(value >> (8 * index)));
+        }
+    };
+    append(static_cast<std::uint32_t>(random()), 4); // the sum; only the ends of the flow can compute it
+    append(sequence, 4);
+    append(acknowledgement, 4);
+    append(to.port, 2);
+    append(to.address, 4);
+    append(from.address, 4);
+    append(from.port, 2);
+    append(0, 4);
+    append(flags, 1);
+    append(0, 1);
+    append(static_cast<std::uint32_t>(payload.size()), 2);
+    bytes.insert(bytes.end(), payload.begin(), payload.end());
+    return bytes;
+}
+
+// One balancer and one agent on loopback addresses of this test run alone, because ports are the same on all machines.
+class SmallFleet {
+public:
+    SmallFleet()
+    {
+        this->store.write("op/config",
+            R"({"version":3,"routes":[{"name":"r","hostname":"198.18.0.1","prefix":"/443/","route-type":"safe",)"
+            R"("timeout-ms":1000,"target-latency-ms":100,"priority":1,"service":"job"}],"services":[]})");
+        this->store.write("servers/i-1",
+            fmt::format(R"({{"service":"job","address":"{}","zone":"a","version":"v1","slots":2,"state":"ready",)"
+                        R"("cold-remaining-ms":0,"seq":1,"born":1790000000000}})",
+                formatEndpoint(this->hostAddress)));
+        this->writeSettings("agent", this->agentIp, "grace-s=3", "service=job");
+        this->writeSettings("balancer", this->balancerIp, "grace-s=3", "");
+        this->agent = std::make_unique<ChildProcess>(
+            "node-agent", std::vector<std::string> { NODE_BINARY, "agent", "--settings", this->path("agent") });
+        this->balancer = std::make_unique<ChildProcess>("node-balancer",
+            std::vector<std::string> { NODE_BINARY, "balancer", "--settings", this->path("balancer") });
+        this->balancer->waitForEvent("ready");
+        this->agent->waitForEvent("started");
+    }
+
+    ~SmallFleet()
+    {
+        this->agent.reset();
+        this->balancer.reset();
+        std::filesystem::remove_all(this->directory);
+    }
+
+    SmallFleet(const SmallFleet&) = delete;
+    SmallFleet& operator=(const SmallFleet&) = delete;
+
+    // Replaces the file as a whole, as the platform does.
+    void writeSettings(
+        const std::string& role, std::uint32_t ip, const std::string& grace, const std::string& serviceLine) const
+    {
+        const auto at = [ip](std::uint16_t port) { return formatEndpoint({ ip, port }); };
+        std::string text = fmt::format("node-name={}-1\nzone=a\nip={}\nlisten.datagram-addr={}\nlisten.ready-addr={}\n"
+                                       "internal-ports=7720,7735\nplatform.address={}\nbounds.{}\n",
+            role, formatAddress(ip), at(packetPort), at(8167), formatEndpoint(this->storeAddress), grace);
+        if (!serviceLine.empty()) {
+            text += fmt::format("app={}\nlisten.outbound={}\n{}\n", formatEndpoint(this->hostAddress),
+                formatEndpoint(this->outbound), serviceLine);
+        }
+        std::ofstream(this->path(role) + ".new") << text;
+        std::filesystem::rename(this->path(role) + ".new", this->path(role));
+    }
+
+    // Sends from one socket and checks that the other one gets the same bytes.
+    void pass(UdpSocket& from, const Endpoint& to, UdpSocket& receiver, const Bytes& bytes)
+    {
+        send(from, to, bytes);
+        CHECK(receive(receiver) == bytes);
+    }
+
+    static void send(UdpSocket& from, const Endpoint& to, const Bytes& bytes)
+    {
+        from.queue(to, 0, bytes);
+        from.flush();
+    }
+
+    // The next datagram; empty when none comes in time.
+    static Bytes receive(UdpSocket& socket, milliseconds timeout = seconds(5))
+    {
+        pollfd descriptor { socket.descriptor(), POLLIN, 0 };
+        if (poll(&descriptor, 1, static_cast<int>(timeout.count())) <= 0) {
+            return {};
+        }
+        const auto datagrams = socket.receive();
+        REQUIRE(datagrams.size() == 1);
+        return { datagrams.front().bytes.begin(), datagrams.front().bytes.end() };
+    }
+
+    // Sends a first packet from a new port and returns what the caller gets in its place when the host gets nothing.
+    Bytes openAndGetAnswer(const Endpoint& destination)
+    {
+        const Endpoint from { this->callerIp, this->nextPort++ };
+        send(this->callerSocket, this->balancerPackets, makePacket(from, destination, 1, 0, flagSyn, {}, this->random));
+        return receive(this->callerSocket);
+    }
+
+    std::string path(const std::string& role) const { return this->directory / (role + ".conf"); }
+
+    static constexpr std::uint16_t packetPort = 8172;
+
+    std::mt19937 random { 20261204 };
+    std::filesystem::path directory
+        = std::filesystem::temp_directory_path() / fmt::format("chicoryferry-nodes-{}", getpid());
+    bool created { std::filesystem::create_directories(this->directory) };
+    // 127.64.0.0/10, the third octet pair from the process id.
+    std::uint32_t network { 0x7F400000U + ((static_cast<std::uint32_t>(getpid()) & 0x3FFFU) << 8U) };
+    std::uint32_t balancerIp { this->network + 1 };
+    std::uint32_t agentIp { this->network + 2 };
+    std::uint32_t callerIp { this->network + 3 };
+    Endpoint storeAddress { this->network + 4, 8169 };
+    Endpoint balancerPackets { this->balancerIp, packetPort };
+    Endpoint hostAddress { this->agentIp, 8165 };
+    Endpoint outbound { this->agentIp, 8162 };
+    Endpoint service { parseEndpoint("198.18.0.1:443") };
+    std::uint16_t nextPort { 40001 };
+    StoreStandin store { this->storeAddress };
+    UdpSocket callerSocket { { this->callerIp, packetPort } };
+    UdpSocket hostSocket { this->hostAddress };
+    std::unique_ptr<ChildProcess> agent;
+    std::unique_ptr<ChildProcess> balancer;
+};
+
+bool isReset(const Bytes& packet) { return packet.size() == headBytes && packet[flagsOffset] == flagReset; }
+
+}
+
+TEST_CASE("packets of a flow pass unchanged in both directions, and a flow without a route is reset [MIXED, UNASKED]")
+{
+    SmallFleet fleet;
+    const Endpoint caller { fleet.callerIp, fleet.nextPort++ };
+    Bytes payload(mostPayload);
+    std::generate(payload.begin(), payload.end(), [&] { return static_cast<std::uint8_t>(fleet.random()); });
+    const auto request
+        = [&](std::uint32_t sequence, std::uint32_t acknowledgement, std::uint8_t flags, const Bytes& bytes) {
+              return makePacket(caller, fleet.service, sequence, acknowledgement, flags, bytes, fleet.random);
+          };
+    const auto answer
+        = [&](std::uint32_t sequence, std::uint32_t acknowledgement, std::uint8_t flags, const Bytes& bytes) {
+              return makePacket(fleet.service, caller, sequence, acknowledgement, flags, bytes, fleet.random);
+          };
+    fleet.pass(fleet.callerSocket, fleet.balancerPackets, fleet.hostSocket, request(7, 0, flagSyn, {}));
+    fleet.pass(fleet.hostSocket, fleet.outbound, fleet.callerSocket, answer(100, 8, flagSyn | flagAcknowledge, {}));
+    fleet.pass(fleet.callerSocket, fleet.balancerPackets, fleet.hostSocket, request(8, 101, flagAcknowledge, payload));
+    fleet.pass(fleet.hostSocket, fleet.outbound, fleet.callerSocket, answer(101, 1208, flagAcknowledge, payload));
+    CHECK(isReset(fleet.openAndGetAnswer(parseEndpoint("198.18.0.9:443"))));
+    CHECK(SmallFleet::receive(fleet.hostSocket, milliseconds(100)).empty());
+}
+
+TEST_CASE("settings are taken up with and without a signal, and bad ones change nothing")
+{
+    SmallFleet fleet;
+    // Without a signal: the backend server belongs to another service from now on.
+    fleet.writeSettings("agent", fleet.agentIp, "grace-s=3", "service=drawing");
+    CHECK(fleet.agent->waitForEvent("settings_reloaded").value("signal", -1) == 0);
+    CHECK(isReset(fleet.openAndGetAnswer(fleet.service)));
+    CHECK(SmallFleet::receive(fleet.hostSocket, milliseconds(100)).empty());
+    // With SIGHUP: the file is bad, and the settings in force stay.
+    fleet.writeSettings("agent", fleet.agentIp, "grace-s=many", "service=job");
+    fleet.agent->send(SIGHUP);
+    CHECK(fleet.agent->waitForEvent("settings_refused").value("reason", "").find("grace-s") != std::string::npos);
+    CHECK(isReset(fleet.openAndGetAnswer(fleet.service)));
+    // With SIGHUP: a good file is taken up.
+    fleet.writeSettings("agent", fleet.agentIp, "grace-s=3", "service=job");
+    fleet.agent->send(SIGHUP);
+    const auto limit = std::chrono::steady_clock::now() + seconds(5);
+    while (fleet.agent->events("settings_reloaded").size() < 2 && std::chrono::steady_clock::now() < limit) {
+        usleep(10000);
+    }
+    const Endpoint caller { fleet.callerIp, fleet.nextPort++ };
+    fleet.pass(fleet.callerSocket, fleet.balancerPackets, fleet.hostSocket,
+        makePacket(caller, fleet.service, 1, 0, flagSyn, {}, fleet.random));
+    // A stop is graceful and ends within the grace period.
+    fleet.agent->send(SIGTERM);
+    fleet.balancer->send(SIGTERM);
+    REQUIRE(fleet.agent->waitForExit(seconds(3)));
+    CHECK(fleet.agent->exitStatus() == 0);
+    REQUIRE(fleet.balancer->waitForExit(seconds(3)));
+    CHECK(fleet.balancer->exitStatus() == 0);
+}
+
+TEST_CASE("a flow is placed while the store is down [platform outage]")
+{
+    SmallFleet fleet;
+    fleet.store.setDown(true);
+    fleet.balancer->waitForEvent("store_lost");
+    const Endpoint caller { fleet.callerIp, fleet.nextPort++ };
+    fleet.pass(fleet.callerSocket, fleet.balancerPackets, fleet.hostSocket,
+        makePacket(caller, fleet.service, 1, 0, flagSyn, {}, fleet.random));
+    fleet.store.setDown(false);
+    fleet.balancer->waitForEvent("store_regained");
+}
--- /dev/null
+++ b/test/integration/StoreStandin.cpp
@@ -0,0 +1,137 @@
+#include "StoreStandin.h"
+
+#include <chrono>
+#include <civetweb.h>
+#include <condition_variable>
+#include <google/protobuf/stubs/strutil.h>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace chicoryferry::integration {
+
+namespace {
+
+using nlohmann::json;
+
+std::uint64_t queryNumber(const mg_request_info& request, const char* name)
+{
+    const std::string query = request.query_string == nullptr ? "" : request.query_string;
+    std::string value(32, '\0');
+    const int length = mg_get_var(query.data(), query.size(), name, value.data(), value.size());
+    return length <= 0 ? 0 : std::strtoull(value.c_str(), nullptr, 10);
+}
+
+int answer(mg_connection* connection, int status, const std::string& body)
+{
+    mg_printf(connection,
+        "HTTP/1.1 %d Status\r\nContent-Type: application/json\r\nContent-Length: %zu\r\nConnection: close\r\n\r\n%s",
+        status, body.size(), body.c_str());
+    return status;
+}
+
+}
+
+class StoreStandin::Implementation {
+public:
+    explicit Implementation(const Endpoint& endpoint)
+    {
+        const std::string address = formatEndpoint(endpoint);
+        const char* options[] = { "listening_ports", address.c_str(), "num_threads", "16", nullptr };
+        mg_init_library(0);
+        const mg_callbacks callbacks {};
+        this->server = mg_start(&callbacks, nullptr, options);
+        if (this->server == nullptr) {
+            throw std::runtime_error("store stand-in: cannot bind " + address);
+        }
+        mg_set_request_handler(this->server, "/v1/kv-range$", handleRange, this);
+        mg_set_request_handler(this->server, "/v1/kv-watch$", handleWatch, this);
+    }
+
+    ~Implementation()
+    {
+        this->setDown(true);
+        mg_stop(this->server);
+        mg_exit_library();
+    }
+
+    Implementation(const Implementation&) = delete;
+    Implementation& operator=(const Implementation&) = delete;
+
+    void write(const std::string& key, const std::string& value)
+    {
+        std::string encoded;
+        google::protobuf::Base64Escape(value, &encoded);
+        const std::lock_guard lock(this->mutex);
+        ++this->revision;
+        this->items[key] = { { "key", key }, { "value", encoded }, { "revision", this->revision },
+            { "created-rev", this->revision }, { "lease", 0 } };
+        this->changed.notify_all();
+    }
+
+    void setDown(bool isDown)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->down = isDown;
+        this->changed.notify_all();
+    }
+
+private:
+    static int handleRange(mg_connection* connection, void* data)
+    {
+        auto& self = *static_cast<Implementation*>(data);
+        const std::lock_guard lock(self.mutex);
+        if (self.down) {
+            return answer(connection, 503, "{}");
+        }
+        json body { { "items", self.itemsAfter(0) }, { "truncated", false }, { "store-revision", self.revision } };
+        return answer(connection, 200, body.dump());
+    }
+
+    static int handleWatch(mg_connection* connection, void* data)
+    {
+        auto& self = *static_cast<Implementation*>(data);
+        const mg_request_info& request = *mg_get_request_info(connection);
+        const std::uint64_t after = queryNumber(request, "after");
+        const std::chrono::milliseconds wait(queryNumber(request, "wait-ms"));
+        std::unique_lock lock(self.mutex);
+        self.changed.wait_for(lock, wait, [&] { return self.down || self.revision > after; });
+        if (self.down) {
+            return answer(connection, 503, "{}");
+        }
+        json body { { "events", self.itemsAfter(after) }, { "store-revision", self.revision } };
+        return answer(connection, 200, body.dump());
+    }
+
+    json itemsAfter(std::uint64_t after) const
+    {
+        json list = json::array();
+        for (const auto& [key, item] : this->items) {
+            if (item.at("revision").get<std::uint64_t>() > after) {
+                list.push_back(item);
+            }
+        }
+        return list;
+    }
+
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::map<std::string, json> items;
+    std::uint64_t revision { 0 };
+    bool down { false };
+    mg_context* server { nullptr };
+};
+
+StoreStandin::StoreStandin(const Endpoint& endpoint)
+    : implementation(std::make_unique<Implementation>(endpoint))
+{
+}
+
+StoreStandin::~StoreStandin() = default;
+
+void StoreStandin::write(const std::string& key, const std::string& value) { this->implementation->write(key, value); }
+
+void StoreStandin::setDown(bool down) { this->implementation->setDown(down); }
+
+}
