A key that is released after a handover is established anew by each successor

A successor kept the release of a handed-on key as its own and granted the key without asking, although another successor could have granted it since: the key ran twice. The new test fails before (key 14 ran 2 times) and passes after.

--- a/src/coordination/KeyCoordinator.cpp
+++ b/src/coordination/KeyCoordinator.cpp
@@ -40,7 +40,7 @@
     case wire::KeyAnswer::COMPLETED:
         return State::Completed;
     case wire::KeyAnswer::FENCED:
-        return State::Released;
+        return State::Fenced;
     default:
         return State::Unknown;
     }
@@ -197,7 +197,13 @@
     record.request = encoded.request();
     record.fingerprint = encoded.fingerprint();
     record.status = encoded.status();
-    if (const IdempotencyRecord* known = this->records.find(encoded.service(), encoded.key())) {
+    const IdempotencyRecord* known = this->records.find(encoded.service(), encoded.key());
+    // A release frees the key for every successor, of which one may have granted it since: it is only taken as the end
+    // of this very request, and as a fence, so that the others are asked before the next grant.
+    if (known == nullptr && record.state == State::Fenced) {
+        return true;
+    }
+    if (known != nullptr) {
         const bool sameRequest = known->holder == record.holder && known->request == record.request;
         // An own grant, or an outcome that is known already, is not older than what the other one knows.
         if (bindsKey(*known) && !(known->state == State::Acquired && sameRequest)) {
--- a/test/unit/LeavingCoordinatorHandsItsKeysOn.cpp
+++ b/test/unit/LeavingCoordinatorHandsItsKeysOn.cpp
@@ -4,6 +4,7 @@
 #include "PlacementFixture.h"
 
 #include <doctest/doctest.h>
+#include <map>
 
 using namespace chicoryferry;
 using std::chrono::milliseconds;
@@ -156,3 +157,65 @@
     fleet.pass(seconds(5));
     checkKeys(fleet, 1000);
 }
+
+// Guards P5: a key that was released after the handover is granted again by one successor, and another successor that
+// becomes its coordinator later must ask that one instead of trusting the release.
+TEST_CASE("a key released after the handover runs once although its coordinator changes again")
+{
+    PlacementFixture fleet(4, 1);
+    fleet.settle();
+    constexpr std::uint64_t busyRequests = 4;
+    for (std::uint64_t request = 1; request <= busyRequests; ++request) {
+        fleet.arrive("host-1", request);
+        fleet.settle();
+    }
+    REQUIRE(fleet.runs().size() == busyRequests);
+    constexpr std::uint64_t first = 100;
+    for (std::uint64_t number = 1; number <= keyCount; ++number) {
+        RequestDescription waiting = correction(fleet, first + number, keyName(number));
+        waiting.caller.address += static_cast<std::uint32_t>(number); // shares of the queue are by address
+        fleet.arrive("host-1", waiting);
+        fleet.settle();
+    }
+    drain(fleet, 0);
+    fleet.startDraining("host-0");
+    fleet.pass(milliseconds(300));
+    for (std::uint64_t number = 1; number <= keyCount; ++number) {
+        fleet.callerGone("host-1", first + number);
+    }
+    fleet.pass(milliseconds(300));
+    fleet.silenced["host-0"] = true;
+    for (std::uint64_t request = 1; request <= busyRequests; ++request) {
+        fleet.endRun(request, RunOutcome::Completed);
+    }
+    fleet.settle();
+    const std::size_t runsBefore = fleet.runs().size();
+    for (std::uint64_t number = 1; number <= keyCount; ++number) {
+        fleet.arrive("host-1", correction(fleet, 2 * first + number, keyName(number)));
+        fleet.pass(milliseconds(20));
+        fleet.endRun(2 * first + number, RunOutcome::Completed, 201);
+        fleet.settle();
+    }
+    const std::size_t runsOfKeys = fleet.runs().size() - runsBefore;
+    CHECK(runsOfKeys > 0);
+    drain(fleet, 2);
+    for (std::uint64_t number = 1; number <= keyCount; ++number) {
+        fleet.arrive("host-1", correction(fleet, 3 * first + number, keyName(number)));
+        fleet.pass(milliseconds(20));
+        fleet.endRun(3 * first + number, RunOutcome::Completed, 201);
+        fleet.settle();
+    }
+    fleet.pass(seconds(2));
+    // Each key has run once at most, whatever became of its first request.
+    std::map<std::uint64_t, int> runsOfKey;
+    for (const auto& run : fleet.runs()) {
+        if (run.request > first) {
+            ++runsOfKey[run.request % first];
+        }
+    }
+    for (const auto& [key, times] : runsOfKey) {
+        CAPTURE(key);
+        CHECK(times == 1);
+    }
+    CHECK(runsOfKey.size() >= runsOfKeys);
+}
