--- a/test/unit/FleetSimulation.cpp
+++ b/test/unit/FleetSimulation.cpp
@@ -74,6 +74,21 @@
     std::vector<FlowPacket> waiting;
 };
 
+FleetSimulation::Options FleetSimulation::arriaga(std::uint64_t seed)
+{
+    Options options;
+    options.seed = seed;
+    options.slots = 3;
+    options.meanWork = Duration(16500);
+    options.toCaller = milliseconds(3);
+    options.toPeer = Duration(900);
+    options.targetLatency = milliseconds(120);
+    options.budget = milliseconds(1200);
+    options.coldSlowdown = 1.6;
+    options.coldFor = std::chrono::seconds(4);
+    return options;
+}
+
 FleetSimulation::FleetSimulation(const Options& simulationOptions)
     : options(simulationOptions)
     , random(simulationOptions.seed)
--- a/test/unit/FleetSimulation.h
+++ b/test/unit/FleetSimulation.h
@@ -41,6 +41,9 @@
         Duration coldFor { 0 }; // from their return on
     };
 
+    // The deployment of arriaga-bordado: 3 slots, longer work, longer ways, and backend servers that start cold.
+    static Options arriaga(std::uint64_t seed);
+
     // What one caller got for one request.
     struct Outcome {
         TimePoint start;
--- a/test/unit/KeysRunAtMostOnce.cpp
+++ b/test/unit/KeysRunAtMostOnce.cpp
@@ -9,17 +9,6 @@
 
 namespace {
 
-RequestDescription keyed(const PlacementFixture& fleet, std::uint64_t request, const std::string& key)
-{
-    RequestDescription description = fleet.describe(request);
-    description.method = "POST";
-    description.target = "/correction";
-    description.route.repeatable = false;
-    description.idempotencyKey = key;
-    description.fingerprint = 7;
-    return description;
-}
-
 std::shared_ptr<const ConfigurationView> viewOf(
     std::uint64_t version, const std::string& host, std::vector<std::shared_ptr<const Configuration>> history)
 {
@@ -53,18 +42,18 @@
 {
     PlacementFixture fleet(3, 2);
     fleet.settle();
-    fleet.arrive("host-0", keyed(fleet, 1, "k"));
+    fleet.arrive("host-0", fleet.describeKeyed(1, "k"));
     fleet.settle();
     REQUIRE(fleet.runs().size() == 1);
-    fleet.arrive("host-1", keyed(fleet, 2, "k"));
+    fleet.arrive("host-1", fleet.describeKeyed(2, "k"));
     fleet.settle();
     REQUIRE(fleet.refusals().size() == 1);
     CHECK(fleet.refusals()[0].reason == "key_in_progress");
     CHECK(fleet.refusals()[0].outcome == RunOutcome::Unknown);
     fleet.endRun(1, RunOutcome::Completed, 201);
     fleet.settle();
-    fleet.arrive("host-2", keyed(fleet, 3, "k"));
-    RequestDescription other = keyed(fleet, 4, "k");
+    fleet.arrive("host-2", fleet.describeKeyed(3, "k"));
+    RequestDescription other = fleet.describeKeyed(4, "k");
     other.fingerprint = 8;
     fleet.arrive("host-2", other);
     fleet.settle();
@@ -81,10 +70,10 @@
     PlacementFixture fleet(1, 1);
     fleet.settle();
     fleet.arrive("host-0", 1);
-    fleet.arrive("host-0", keyed(fleet, 2, "k"));
+    fleet.arrive("host-0", fleet.describeKeyed(2, "k"));
     fleet.callerGone("host-0", 2);
     fleet.endRun(1, RunOutcome::Completed);
-    fleet.arrive("host-0", keyed(fleet, 3, "k"));
+    fleet.arrive("host-0", fleet.describeKeyed(3, "k"));
     fleet.settle();
     CHECK(fleet.refusals().empty());
     REQUIRE(fleet.runs().size() == 2);
@@ -103,7 +92,7 @@
     fleet.publishTo("host-1");
     fleet.settle();
     for (std::uint64_t request = 1; request <= 20; ++request) {
-        fleet.arrive("host-1", keyed(fleet, request, "k" + std::to_string(request)));
+        fleet.arrive("host-1", fleet.describeKeyed(request, "k" + std::to_string(request)));
         fleet.settle();
         fleet.endRun(request, RunOutcome::Completed);
     }
@@ -126,7 +115,7 @@
     fleet.configuration.version = 2;
     fleet.configuration.hosts[0].incarnation = 2;
     fleet.publishTo("host-0");
-    fleet.arrive("host-0", keyed(fleet, 1, "k"));
+    fleet.arrive("host-0", fleet.describeKeyed(1, "k"));
     fleet.settle();
     REQUIRE(fleet.refusals().size() == 1);
     CHECK(fleet.refusals()[0].reason == "key_history_incomplete");
--- a/test/unit/LeavingCoordinatorHandsItsKeysOn.cpp
+++ b/test/unit/LeavingCoordinatorHandsItsKeysOn.cpp
@@ -12,17 +12,6 @@
 
 namespace {
 
-RequestDescription correction(const PlacementFixture& fleet, std::uint64_t request, const std::string& key)
-{
-    RequestDescription description = fleet.describe(request);
-    description.method = "POST";
-    description.target = "/correction";
-    description.route.repeatable = false;
-    description.idempotencyKey = key;
-    description.fingerprint = 7;
-    return description;
-}
-
 std::string keyName(std::uint64_t number) { return "key-" + std::to_string(number); }
 
 constexpr std::uint64_t keyCount = 30;
@@ -31,7 +20,7 @@
 void useKeys(PlacementFixture& fleet)
 {
     for (std::uint64_t request = 1; request <= keyCount; ++request) {
-        fleet.arrive("host-1", correction(fleet, request, keyName(request)));
+        fleet.arrive("host-1", fleet.describeKeyed(request, keyName(request)));
         fleet.settle();
         fleet.endRun(request, RunOutcome::Completed, 201);
         fleet.settle();
@@ -65,7 +54,7 @@
     const std::size_t runsBefore = fleet.runs().size();
     const std::size_t refusalsBefore = fleet.refusals().size();
     for (std::uint64_t number = 1; number <= keyCount; ++number) {
-        fleet.arrive("host-1", correction(fleet, firstRequest + number, keyName(number)));
+        fleet.arrive("host-1", fleet.describeKeyed(firstRequest + number, keyName(number)));
         fleet.pass(milliseconds(20));
     }
     fleet.pass(seconds(2));
@@ -77,7 +66,7 @@
     }
     for (std::uint64_t number = 1; number <= keyCount; ++number) {
         const std::uint64_t request = firstRequest + keyCount + number;
-        fleet.arrive("host-1", correction(fleet, request, keyName(firstRequest + number)));
+        fleet.arrive("host-1", fleet.describeKeyed(request, keyName(firstRequest + number)));
         fleet.pass(milliseconds(20));
         fleet.endRun(request, RunOutcome::Completed);
     }
@@ -146,7 +135,7 @@
     PlacementFixture fleet(3, 40);
     fleet.settle();
     for (std::uint64_t request = 1; request <= keyCount; ++request) {
-        fleet.arrive("host-1", correction(fleet, request, keyName(request)));
+        fleet.arrive("host-1", fleet.describeKeyed(request, keyName(request)));
         fleet.settle();
     }
     drain(fleet, 0);
@@ -172,7 +161,7 @@
     REQUIRE(fleet.runs().size() == busyRequests);
     constexpr std::uint64_t first = 100;
     for (std::uint64_t number = 1; number <= keyCount; ++number) {
-        RequestDescription waiting = correction(fleet, first + number, keyName(number));
+        RequestDescription waiting = fleet.describeKeyed(first + number, keyName(number));
         waiting.caller.address += static_cast<std::uint32_t>(number); // shares of the queue are by address
         fleet.arrive("host-1", waiting);
         fleet.settle();
@@ -191,7 +180,7 @@
     fleet.settle();
     const std::size_t runsBefore = fleet.runs().size();
     for (std::uint64_t number = 1; number <= keyCount; ++number) {
-        fleet.arrive("host-1", correction(fleet, 2 * first + number, keyName(number)));
+        fleet.arrive("host-1", fleet.describeKeyed(2 * first + number, keyName(number)));
         fleet.pass(milliseconds(20));
         fleet.endRun(2 * first + number, RunOutcome::Completed, 201);
         fleet.settle();
@@ -200,7 +189,7 @@
     CHECK(runsOfKeys > 0);
     drain(fleet, 2);
     for (std::uint64_t number = 1; number <= keyCount; ++number) {
-        fleet.arrive("host-1", correction(fleet, 3 * first + number, keyName(number)));
+        fleet.arrive("host-1", fleet.describeKeyed(3 * first + number, keyName(number)));
         fleet.pass(milliseconds(20));
         fleet.endRun(3 * first + number, RunOutcome::Completed, 201);
         fleet.settle();
--- a/test/unit/OverloadIsRefusedByExpectedWait.cpp
+++ b/test/unit/OverloadIsRefusedByExpectedWait.cpp
@@ -45,14 +45,8 @@
     constexpr double load = 2;
     double servedInTime = 0;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        FleetSimulation::Options options;
-        options.seed = seed;
-        options.slots = 3;
-        options.meanWork = FleetSimulation::Duration(26400);
-        options.toCaller = milliseconds(3);
-        options.toPeer = FleetSimulation::Duration(900);
-        options.targetLatency = milliseconds(120);
-        options.budget = milliseconds(1200);
+        FleetSimulation::Options options = FleetSimulation::arriaga(seed);
+        options.meanWork = FleetSimulation::Duration(26400); // cold all the time
         FleetSimulation simulation(options);
         simulation.load(load * simulation.capacity(), seconds(0), seconds(6));
         simulation.run(seconds(8));
@@ -94,17 +88,7 @@
     constexpr milliseconds back { 3500 };
     double worthAfter = 0;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        FleetSimulation::Options options;
-        options.seed = seed;
-        options.slots = 3;
-        options.meanWork = FleetSimulation::Duration(16500);
-        options.toCaller = milliseconds(3);
-        options.toPeer = FleetSimulation::Duration(900);
-        options.targetLatency = milliseconds(120);
-        options.budget = milliseconds(1200);
-        options.coldSlowdown = 1.6;
-        options.coldFor = seconds(4);
-        FleetSimulation simulation(options);
+        FleetSimulation simulation(FleetSimulation::arriaga(seed));
         simulation.load(0.55 * simulation.capacity(), seconds(0), seconds(7));
         simulation.at(seconds(2), [&] { simulation.loseEverything(back); });
         simulation.run(seconds(9));
--- a/test/unit/PlacementFixture.h
+++ b/test/unit/PlacementFixture.h
@@ -92,6 +92,18 @@
         return description;
     }
 
+    // A request that must not be repeated.
+    RequestDescription describeKeyed(std::uint64_t request, const std::string& key) const
+    {
+        RequestDescription description = this->describe(request);
+        description.method = "POST";
+        description.target = "/correction";
+        description.route.repeatable = false;
+        description.idempotencyKey = key;
+        description.fingerprint = 7;
+        return description;
+    }
+
     void arrive(const std::string& host, std::uint64_t request) { this->arrive(host, this->describe(request)); }
 
     void arrive(const std::string& host, const RequestDescription& description)
