--- a/test/integration/ChildProcess.h
+++ b/test/integration/ChildProcess.h
@@ -21,8 +21,8 @@
     ChildProcess(const ChildProcess&) = delete;
     ChildProcess& operator=(const ChildProcess&) = delete;
 
-    // Waits for a line on standard output or standard error whose "event" has this value. Throws std::runtime_error with the last lines
-    // when the process ends or the time is over.
+    // Waits for a line on standard output or standard error whose "event" has this value. Throws std::runtime_error
+    // with the last lines when the process ends or the time is over.
     nlohmann::json waitForEvent(const std::string& event, std::chrono::milliseconds timeout = std::chrono::seconds(20));
 
     // Lines whose "event" has this value.
--- a/test/unit/LeavingCoordinatorHandsItsKeysOn.cpp
+++ b/test/unit/LeavingCoordinatorHandsItsKeysOn.cpp
@@ -202,9 +202,9 @@
             ++runsOfKey[run.request % first];
         }
     }
-    for (const auto& [key, times] : runsOfKey) {
-        CAPTURE(key);
-        CHECK(times == 1);
+    for (const auto& entry : runsOfKey) {
+        CAPTURE(entry.first);
+        CHECK(entry.second == 1);
     }
     CHECK(runsOfKey.size() >= runsOfKeys);
 }
