--- a/test/unit/FleetSimulation.cpp
+++ b/test/unit/FleetSimulation.cpp
@@ -201,9 +201,16 @@
 void FleetSimulation::startRequest()
 {
     this->results.push_back({ this->now, {}, false, false, 0, {} });
+    this->endedTries.push_back(0);
     this->startTry(this->results.size() - 1);
 }
 
+void FleetSimulation::endTry(Caller& caller)
+{
+    this->endedTries[caller.request] += caller.done ? 0 : 1;
+    caller.done = true;
+}
+
 void FleetSimulation::startTry(std::size_t request)
 {
     // The tries of a request come from one address, each from a new port.
@@ -230,7 +237,9 @@
     }
     this->schedule(this->now + tryLimit, [this, key] {
         Caller& waiting = this->callers[key];
-        waiting.done = waiting.done || !waiting.open;
+        if (!waiting.open) {
+            this->endTry(waiting);
+        }
     });
 }
 
@@ -419,15 +428,13 @@
     Outcome& outcome = this->results[caller.request];
     const bool inBudget = this->now - outcome.start < this->options.budget;
     if (packet.resets) {
-        caller.done = true;
+        this->endTry(caller);
         this->openResets += caller.open ? 1 : 0;
         ++caller.tryNumber;
         outcome.end = this->now;
         outcome.refused = true;
         const std::size_t request = caller.request;
-        const auto tries = std::count_if(this->callers.begin(), this->callers.end(),
-            [&](const auto& item) { return item.second.request == request && item.second.done; });
-        if (inBudget && tries < this->options.tries) {
+        if (inBudget && this->endedTries[request] < this->options.tries) {
             this->startTry(request);
         }
         return;
@@ -443,7 +450,7 @@
         next.payload = payloadByte;
         this->schedule(this->now + this->options.toCaller, [this, next] { this->sendToBalancer(next); });
     } else if (!packet.payload.empty()) {
-        caller.done = true;
+        this->endTry(caller);
         outcome.end = this->now;
         outcome.served = inBudget;
         outcome.refused = false;
--- a/test/unit/FleetSimulation.h
+++ b/test/unit/FleetSimulation.h
@@ -113,6 +113,7 @@
     void schedule(TimePoint, std::function<void()>);
     void startRequest();
     void startTry(std::size_t request);
+    void endTry(Caller&);
     void sendToBalancer(const FlowPacket&);
     void takeAtBalancer(std::size_t balancer, const FlowPacket&);
     void performBalancer(std::size_t balancer);
@@ -139,6 +140,7 @@
     std::priority_queue<Event> events;
     std::uint64_t eventCount { 0 };
     std::vector<Outcome> results;
+    std::vector<int> endedTries; // of each request
     std::map<FlowKey, Caller> callers;
     std::vector<Host> hosts;
     std::vector<Balancer> balancers;
