Log what a balancer knows of a flow that it resets, and what an agent takes over

flow_reset now carries the numbers of the first and last copy of the first packet that arrived at the balancer, their age, and each agent that was offered the flow with its last verdict and the time until it. A reset that is withheld is logged as reset_withheld with the same fields and counted. An agent logs packet_returned when its backend server returns a packet that is not the first, and flow_recovered when it takes a flow over. No decision changes.

--- a/src/app/AgentNode.cpp
+++ b/src/app/AgentNode.cpp
@@ -116,6 +116,15 @@
                 { { "request", request.requestId }, { "flow", formatFlow(request.flow) } });
         },
         [this](const ReportAnswer& answer) { this->logAnswer(answer); },
+        [this](const ReportReturnedPacket& returned) {
+            this->log.log(returned.known ? EventLog::Importance::Notable : EventLog::Importance::Routine,
+                "packet_returned", { { "flow", formatFlow(returned.flow) }, { "known", returned.known ? 1 : 0 } });
+        },
+        [this](const ReportRecoveredFlow& recovered) {
+            this->metrics.events("flow_recovered").Increment();
+            this->log.log(EventLog::Importance::Notable, "flow_recovered",
+                { { "flow", formatFlow(recovered.flow) }, { "opens", recovered.opens ? 1 : 0 } });
+        },
     };
     for (const AgentAction& action : this->actions) {
         std::visit(visitor, action);
--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -45,6 +45,16 @@
 // The process exits at the latest this long before the platform kills it.
 constexpr milliseconds stopMargin { 700 };
 
+std::string formatOffers(const OpeningHistory& history)
+{
+    std::string text;
+    for (const OfferOutcome& offer : history.offers) {
+        text += fmt::format("{}{} {} after {} ms", text.empty() ? "" : ", ", formatEndpoint(offer.agent),
+            offer.verdict ? flowVerdictName(*offer.verdict) : "no verdict", offer.delay.count());
+    }
+    return text;
+}
+
 // The event loop wakes up at least every 250 ms; a gap longer than this limit means that the process was paused. First
 // packets queued during the pause are discarded, because their callers have resent them or given up.
 constexpr milliseconds maximumLoopGap { 600 };
@@ -180,18 +190,30 @@
     this->metrics.refusals("steer flow", std::string(action.reason)).Increment();
     this->log.log(EventLog::Importance::Notable, "flow_reset",
         { { "flow", formatFlow(action.flow) }, { "reason", action.reason },
-            { "configuration", static_cast<std::int64_t>(this->directory.routes().version) } });
+            { "configuration", static_cast<std::int64_t>(this->directory.routes().version) },
+            { "first_copy", action.history.firstTransmission }, { "last_copy", action.history.lastTransmission },
+            { "age_ms", action.history.age.count() }, { "offers", formatOffers(action.history) } });
     const auto datagram = platform::encodeReset(action.flow.service, action.flow.caller, action.sequence);
     this->packetSocket.queue({ action.flow.caller.address, this->settings.packetAddress.port }, 0, datagram);
     this->packetSocket.flush();
 }
 
+void BalancerNode::logWithheldReset(const WithholdReset& action)
+{
+    this->metrics.events("reset_withheld").Increment();
+    this->log.log(EventLog::Importance::Notable, "reset_withheld",
+        { { "flow", formatFlow(action.flow) }, { "reason", action.reason },
+            { "first_copy", action.history.firstTransmission }, { "last_copy", action.history.lastTransmission },
+            { "age_ms", action.history.age.count() }, { "offers", formatOffers(action.history) } });
+}
+
 void BalancerNode::perform()
 {
     for (const SteeringAction& action : this->actions) {
         std::visit(Overloaded {
                        [this](const SteerPacket& packet) { this->sendSteeredPacket(packet); },
                        [this](const SendReset& flow) { this->sendReset(flow); },
+                       [this](const WithholdReset& flow) { this->logWithheldReset(flow); },
                    },
             action);
     }
--- a/src/app/BalancerNode.h
+++ b/src/app/BalancerNode.h
@@ -46,6 +46,7 @@
     void perform();
     void sendSteeredPacket(const SteerPacket&);
     void sendReset(const SendReset&);
+    void logWithheldReset(const WithholdReset&);
     void detectPause(std::chrono::nanoseconds now);
     void tick(TimePoint now);
     void sendHellos(TimePoint now);
--- a/src/coordination/AgentAction.h
+++ b/src/coordination/AgentAction.h
@@ -54,7 +54,19 @@
     std::chrono::microseconds work { 0 }; // time from the request to the start of the answer
 };
 
+// Report that the backend server returned a packet other than the first one of a flow.
+struct ReportReturnedPacket {
+    FlowKey flow;
+    bool known { false }; // the agent had the flow; otherwise it had delivered the packet on trial
+};
+
+// Report that the agent took over a flow that its backend server holds from before the agent's start.
+struct ReportRecoveredFlow {
+    FlowKey flow;
+    bool opens { false }; // the backend server's packet is its answer to a first packet
+};
+
 using AgentAction = std::variant<DeliverToBackendServer, DeliverToCaller, SendVerdict, ReportRequest, ReportLostRequest,
-    ReportAnswer>;
+    ReportAnswer, ReportReturnedPacket, ReportRecoveredFlow>;
 
 }
--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -81,13 +81,38 @@
     }
 }
 
+OpeningHistory FlowSteering::history(const Opening& opening, TimePoint now)
+{
+    const auto since
+        = [](TimePoint from, TimePoint to) { return std::chrono::duration_cast<std::chrono::milliseconds>(to - from); };
+    OpeningHistory history { opening.firstTransmission, opening.retransmissions, since(opening.firstPacket, now),
+        opening.possiblyOpen, {} };
+    history.offers.reserve(opening.offers.size());
+    for (const Offer& offer : opening.offers) {
+        history.offers.push_back(
+            { offer.agent, offer.verdict, since(offer.sentAt, offer.verdict ? offer.verdictAt : now) });
+    }
+    return history;
+}
+
+void FlowSteering::recordVerdict(Opening& opening, const Endpoint& agent, FlowVerdict verdict, TimePoint now)
+{
+    for (Offer& offer : opening.offers) {
+        if (offer.agent == agent) {
+            offer.verdict = verdict;
+            offer.verdictAt = now;
+        }
+    }
+}
+
 bool FlowSteering::refuse(
     const FlowKey& key, Opening& opening, std::string_view reason, TimePoint now, std::vector<SteeringAction>& actions)
 {
     if (!opening.possiblyOpen) {
-        actions.emplace_back(SendReset { key, 0, reason });
+        actions.emplace_back(SendReset { key, 0, reason, history(opening, now) });
         return false;
     }
+    actions.emplace_back(WithholdReset { key, reason, history(opening, now) });
     opening.exhausted = true;
     opening.deadline = now + openingLifetime;
     return true;
@@ -101,7 +126,7 @@
     }
     const FlowRoute* route = this->directory.route(key.service);
     if (route == nullptr) {
-        actions.emplace_back(SendReset { key, 0, "no_route" });
+        actions.emplace_back(SendReset { key, 0, "no_route", history(opening, now) });
         return false;
     }
     const auto age = retransmissionAge(opening.retransmissions)
@@ -126,6 +151,7 @@
     }
     opening.waiting = false;
     opening.tried.push_back(choice->agent);
+    opening.offers.push_back({ choice->agent, now, std::nullopt, {} });
     opening.deadline = now + verdictTimeout;
     this->placement.recordFlowSent(choice->agent);
     actions.emplace_back(SteerPacket { choice->agent, SteeringPurpose::NewFlow, serviceHash(route->service), limit,
@@ -162,6 +188,7 @@
     Opening& entry = this->openings[key];
     if (entry.datagram.empty()) {
         entry.firstPacket = now;
+        entry.firstTransmission = packet.acknowledgement;
     } else if (!entry.waiting) {
         return; // the verdict on the earlier transmission is outstanding; after its timeout tick() tries another agent
     }
@@ -262,6 +289,7 @@
         return;
     }
     const auto& tried = opening->second.tried;
+    recordVerdict(opening->second, agent, FlowVerdict::Admitted, now);
     if (!opening->second.waiting && !tried.empty() && tried.back() == agent) {
         this->placement.recordVerdict(agent);
     }
@@ -283,6 +311,7 @@
     const auto opening = this->openings.find(key);
     if (opening != this->openings.end()) {
         const auto& tried = opening->second.tried;
+        recordVerdict(opening->second, agent, verdict, now);
         opening->second.possiblyOpen = opening->second.possiblyOpen || verdict == FlowVerdict::RefusedByBackendServer;
         if (!opening->second.waiting && !opening->second.exhausted && !tried.empty() && tried.back() == agent) {
             this->placement.recordVerdict(agent);
@@ -298,6 +327,7 @@
     if (flow.opening) {
         // The agent admitted the flow, but its backend server has not answered: another agent may take it.
         const auto placed = this->openings.insert_or_assign(key, std::move(*flow.opening)).first;
+        recordVerdict(placed->second, agent, verdict, now);
         placed->second.possiblyOpen = placed->second.possiblyOpen || verdict == FlowVerdict::RefusedByBackendServer;
         this->flows.erase(found);
         this->placeOrErase(placed, now, actions);
@@ -338,7 +368,7 @@
         }
         bool keep = false;
         if (opening->second.waiting) {
-            actions.emplace_back(SendReset { opening->first, 0, "no_agent" });
+            actions.emplace_back(SendReset { opening->first, 0, "no_agent", history(opening->second, now) });
         } else if (!opening->second.exhausted) {
             opening->second.possiblyOpen = true;
             this->placement.recordVerdictTimeout(opening->second.tried.back());
--- a/src/coordination/FlowSteering.h
+++ b/src/coordination/FlowSteering.h
@@ -51,12 +51,21 @@
     std::size_t openingCount() const { return this->openings.size(); }
 
 private:
+    struct Offer {
+        Endpoint agent;
+        TimePoint sentAt;
+        std::optional<FlowVerdict> verdict; // the last one
+        TimePoint verdictAt;
+    };
+
     // A new flow that no agent has admitted yet.
     struct Opening {
         std::vector<std::uint8_t> datagram;
         std::vector<Endpoint> tried; // agents that were offered the flow, most recent last
+        std::vector<Offer> offers; // to the agents in `tried`
         TimePoint firstPacket;
         TimePoint deadline; // for the agent's verdict or for an agent to become available
+        std::uint32_t firstTransmission { 0 }; // number of the first transmission that arrived here
         std::uint32_t retransmissions { 0 }; // how often the caller has retransmitted the packet
         bool waiting { false }; // for the configuration or an agent; no verdict is outstanding
         // An agent's verdict or its backend server's answer timed out: the flow may nevertheless be open there.
@@ -82,6 +91,8 @@
     // Returns whether to keep the opening.
     bool place(const FlowKey&, Opening&, TimePoint now, std::vector<SteeringAction>& actions);
     void waitForAgent(Opening&, TimePoint now) const;
+    static OpeningHistory history(const Opening&, TimePoint now);
+    static void recordVerdict(Opening&, const Endpoint& agent, FlowVerdict, TimePoint now);
     // Resets the flow unless it may be open at an agent. Returns whether to keep the opening.
     bool refuse(const FlowKey&, Opening&, std::string_view reason, TimePoint now, std::vector<SteeringAction>& actions);
     void handleAdmitted(const Endpoint& agent, const FlowKey&, TimePoint now);
--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -280,12 +280,18 @@
     const FlowKey key = packet.keyFromCaller();
     HostFlow* flow = this->flows.find(key);
     if (flow == nullptr) {
-        this->tentativeDeliveries.erase(key); // the flow is held by another agent's backend server or by none
+        // The flow is held by another agent's backend server or by none.
+        if (this->tentativeDeliveries.erase(key) > 0) {
+            actions.emplace_back(ReportReturnedPacket { key, false });
+        }
         return;
     }
     if (flow->phase == HostFlowPhase::Closed) {
         return; // a late packet of a flow that has ended
     }
+    if (!packet.isFirst()) {
+        actions.emplace_back(ReportReturnedPacket { key, true });
+    }
     const Endpoint balancer = flow->balancer;
     if (!flow->requestId.empty()) {
         actions.emplace_back(ReportLostRequest { key, std::move(flow->requestId) });
@@ -313,6 +319,7 @@
             // The flow was opened before this agent started.
             HostFlow& found = this->flows.open(key, delivery->second.balancer, now);
             this->flows.setPhase(found, HostFlowPhase::Idle, now);
+            actions.emplace_back(ReportRecoveredFlow { key, packet.opens });
             actions.emplace_back(SendVerdict { delivery->second.balancer, key, FlowVerdict::Owned, {}, {} });
             this->tentativeDeliveries.erase(delivery);
         }
--- a/src/coordination/SteeringAction.h
+++ b/src/coordination/SteeringAction.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/AgentLoad.h"
+#include "coordination/OpeningHistory.h"
 #include "protocol/Endpoint.h"
 #include "state/FlowKey.h"
 
@@ -38,8 +39,16 @@
     FlowKey flow;
     std::uint32_t sequence { 0 };
     std::string_view reason;
+    OpeningHistory history {}; // empty if the flow has been open
 };
 
-using SteeringAction = std::variant<SteerPacket, SendReset>;
+// A refused flow is not reset, because a backend server may have accepted it. The caller gives up by itself.
+struct WithholdReset {
+    FlowKey flow;
+    std::string_view reason; // for which the flow was refused
+    OpeningHistory history;
+};
+
+using SteeringAction = std::variant<SteerPacket, SendReset, WithholdReset>;
 
 }
--- a/test/unit/FleetSimulation.cpp
+++ b/test/unit/FleetSimulation.cpp
@@ -280,6 +280,9 @@
             this->schedule(this->now + this->options.toCaller, [this, packet] { this->receiveAtCaller(packet); });
             continue;
         }
+        if (!std::holds_alternative<SteerPacket>(action)) {
+            continue;
+        }
         const auto& steer = std::get<SteerPacket>(action);
         const FlowPacket packet = this->stored(steer.datagram);
         const std::size_t host = steer.agent.address - firstHostAddress;
