--- /dev/null
+++ b/test/unit/FlowSteeringSearchTest.cpp
@@ -0,0 +1,59 @@
+#include "SteeringFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace chicoryferry;
+using std::chrono::milliseconds;
+
+// Guards against FLOW: a late verdict on an offer makes its agent the owner of a flow that is open at another agent.
+TEST_CASE("a late admission does not become the owner of a flow that is being searched")
+{
+    SteeringFixture balancer { 3 };
+    balancer.sendFirst();
+    balancer.tick(milliseconds(31));
+    const Endpoint second = balancer.asked().back();
+    balancer.sendLater(milliseconds(32));
+    CHECK(balancer.asked().size() == 3);
+    balancer.receiveVerdict(second, FlowVerdict::Admitted, milliseconds(33));
+    balancer.sendLater(milliseconds(34));
+    CHECK(balancer.asked().size() == 3);
+}
+
+// Guards against FLOW: packets go only to the agents that this balancer asked, though another balancer placed the flow.
+TEST_CASE("an open flow is searched at every agent if earlier transmissions did not arrive here")
+{
+    SteeringFixture balancer { 4 };
+    balancer.sendFirst(1);
+    balancer.receiveVerdict(balancer.asked().back(), FlowVerdict::RefusedFull, milliseconds(2));
+    balancer.receiveVerdict(balancer.asked().back(), FlowVerdict::Admitted, milliseconds(4));
+    balancer.sendLater(milliseconds(8));
+    CHECK(balancer.asked().size() == 4);
+}
+
+// Guards against FLOW: none of the agents asked owns the flow, and their hosts get its packets without end.
+TEST_CASE("an open flow that no agent asked confirms is searched at every agent")
+{
+    SteeringFixture balancer { 4 };
+    balancer.sendFirst();
+    balancer.receiveVerdict(balancer.asked().back(), FlowVerdict::RefusedFull, milliseconds(2));
+    balancer.receiveVerdict(balancer.asked().back(), FlowVerdict::Admitted, milliseconds(4));
+    balancer.sendLater(milliseconds(8));
+    CHECK(balancer.asked().size() == 2);
+    balancer.sendLater(milliseconds(208));
+    CHECK(balancer.asked().size() == 4);
+}
+
+// Guards against a second backend server for an open flow: its first packet is offered again after later ones.
+TEST_CASE("a flow that has carried later packets is not offered to another agent")
+{
+    SteeringFixture balancer { 4 };
+    balancer.sendFirst();
+    balancer.receiveVerdict(balancer.asked().back(), FlowVerdict::RefusedFull, milliseconds(2));
+    const Endpoint owner = balancer.asked().back();
+    balancer.receiveVerdict(owner, FlowVerdict::Admitted, milliseconds(4));
+    balancer.sendLater(milliseconds(8));
+    balancer.receiveVerdict(owner, FlowVerdict::NotFound, milliseconds(9));
+    CHECK(balancer.asked().empty());
+    balancer.sendLater(milliseconds(10));
+    CHECK(balancer.asked().size() == 4);
+}
--- a/test/unit/HostAdmissionTest.cpp
+++ b/test/unit/HostAdmissionTest.cpp
@@ -214,3 +214,43 @@
     agent.fromHost([](FlowPacket&) {});
     CHECK_FALSE(agent.admission.isBackendServerSilent(start + milliseconds(100)));
 }
+
+// Guards against FLOW: a half-open backend server repeats its SYN+ACK, and the agent claims a flow that is open
+// elsewhere.
+TEST_CASE("the repeated answer to a first packet does not make a restarted agent the owner of the flow")
+{
+    Agent agent(seconds(1));
+    agent.fromCaller([](FlowPacket&) {}, true);
+    CHECK(agent.delivered());
+    agent.fromHost([](FlowPacket& packet) { packet.opens = true; });
+    CHECK(agent.verdicts().empty());
+}
+
+// Guards against FLOW: later packets of a flow reach a backend server that the caller did not accept.
+TEST_CASE("no packet of a flow is delivered after its caller accepted another backend server")
+{
+    Agent agent(seconds(1));
+    agent.offer();
+    agent.fromHost([](FlowPacket& packet) {
+        packet.opens = true;
+        packet.sequence = hostSequence;
+    });
+    const auto acceptsAnother = [](FlowPacket& packet) { packet.acknowledgement = 77; };
+    agent.fromCaller(acceptsAnother, true);
+    CHECK_FALSE(agent.delivered());
+    agent.fromCaller(acceptsAnother, true);
+    CHECK_FALSE(agent.delivered());
+    agent.fromCaller(acceptsAnother);
+    CHECK_FALSE(agent.delivered());
+    CHECK(agent.verdicts() == std::vector { FlowVerdict::NotFound });
+}
+
+// Guards against FLOW: a balancer with a wrong owner is never told, and each packet reaches a wrong backend server.
+TEST_CASE("a balancer is told when the backend server returns a packet that was sent to the owner")
+{
+    Agent agent(seconds(1));
+    agent.fromCaller([](FlowPacket&) {});
+    CHECK(agent.delivered());
+    agent.returned();
+    CHECK(agent.verdicts() == std::vector { FlowVerdict::NotFound });
+}
