Reset a refused flow only if no other balancer can have placed it

What callers saw: an open flow was reset although its backend server was sound.

Cause: a balancer took its own offers for all offers of a flow. The caller sends its first packet up to three times, and after a change of the rotation or a restart each transmission can reach another balancer. While one agent held the flow or its backend server answered late, another balancer offered the retransmission elsewhere, was refused, and reset the flow. The same happened when a balancer dropped its record of an admitted flow (silent owner, two owners), had no agent, or had too many openings.

Change: FirstPacketTransmissions records which transmissions arrived here. A flow is reset after refusals only if every transmission that the caller can have sent by now arrived here and no offer may have opened it. Otherwise the balancer keeps offering the flow, first after 40 ms and then at doubling intervals: once on the terms of a new flow, because a reset would have made the caller return with one, and then by its age. All agents that were ever offered the flow are asked for its later packets.

--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -31,23 +31,11 @@
 // fraction of the time until its caller times out.
 constexpr double waitShareOfRemainingTime = 0.6;
 
-// The caller retransmits its first packet after 200 ms and again after 600 ms.
-constexpr std::chrono::milliseconds firstRetransmissionAge { 200 };
-constexpr std::chrono::milliseconds secondRetransmissionAge { 600 };
-
 std::chrono::milliseconds scale(std::chrono::milliseconds duration, double factor)
 {
     return std::chrono::milliseconds(static_cast<std::int64_t>(factor * static_cast<double>(duration.count())));
 }
 
-std::chrono::milliseconds retransmissionAge(std::uint32_t retransmissions)
-{
-    if (retransmissions == 0) {
-        return std::chrono::milliseconds(0);
-    }
-    return retransmissions == 1 ? firstRetransmissionAge : secondRetransmissionAge;
-}
-
 // Maximum time that the flow may wait for a slot. age: how long its caller has already waited.
 std::chrono::milliseconds waitLimit(const FlowRoute& route, FlowUrgency urgency, std::chrono::milliseconds age)
 {
@@ -57,6 +45,10 @@
     return scale(route.timeout - age, waitShareOfRemainingTime);
 }
 
+// A flow that was refused but may not be reset is offered again after this time, and then at doubling intervals: each
+// slot becomes free about twice meanwhile, because requests take about 20 ms on average.
+constexpr std::chrono::milliseconds firstRoundDelay { 40 };
+
 // Covers retransmissions after both endpoints have finished.
 constexpr std::chrono::milliseconds closedFlowLifetime { 2000 };
 
@@ -85,8 +77,9 @@
 {
     const auto since
         = [](TimePoint from, TimePoint to) { return std::chrono::duration_cast<std::chrono::milliseconds>(to - from); };
-    OpeningHistory history { opening.firstTransmission, opening.retransmissions, since(opening.firstPacket, now),
-        opening.possiblyOpen, {} };
+    const FirstPacketTransmissions& transmissions = opening.transmissions;
+    OpeningHistory history { transmissions.first(), transmissions.last(), transmissions.age(now),
+        opening.possiblyOpen || !transmissions.isComplete(now), {} };
     history.offers.reserve(opening.offers.size());
     for (const Offer& offer : opening.offers) {
         history.offers.push_back(
@@ -95,26 +88,44 @@
     return history;
 }
 
-void FlowSteering::recordVerdict(Opening& opening, const Endpoint& agent, FlowVerdict verdict, TimePoint now)
+std::vector<Endpoint> FlowSteering::agentsOffered(const Opening& opening)
 {
-    for (Offer& offer : opening.offers) {
-        if (offer.agent == agent) {
-            offer.verdict = verdict;
-            offer.verdictAt = now;
+    std::vector<Endpoint> agents;
+    for (const Offer& offer : opening.offers) {
+        if (std::find(agents.begin(), agents.end(), offer.agent) == agents.end()) {
+            agents.push_back(offer.agent);
         }
     }
+    return agents;
+}
+
+void FlowSteering::recordVerdict(Opening& opening, const Endpoint& agent, FlowVerdict verdict, TimePoint now)
+{
+    const auto offer = std::find_if(opening.offers.rbegin(), opening.offers.rend(),
+        [&](const Offer& candidate) { return candidate.agent == agent; });
+    if (offer != opening.offers.rend()) {
+        offer->verdict = verdict;
+        offer->verdictAt = now;
+    }
 }
 
 bool FlowSteering::refuse(
     const FlowKey& key, Opening& opening, std::string_view reason, TimePoint now, std::vector<SteeringAction>& actions)
 {
-    if (!opening.possiblyOpen) {
+    if (!opening.possiblyOpen && opening.transmissions.isComplete(now)) {
         actions.emplace_back(SendReset { key, 0, reason, history(opening, now) });
         return false;
     }
-    actions.emplace_back(WithholdReset { key, reason, history(opening, now) });
+    if (opening.transmissions.age(now) >= openingLifetime) {
+        return false;
+    }
+    if (opening.refusedRounds == 0) {
+        actions.emplace_back(WithholdReset { key, reason, history(opening, now) });
+    }
     opening.exhausted = true;
-    opening.deadline = now + openingLifetime;
+    opening.waiting = false;
+    opening.deadline = now + firstRoundDelay * (1U << opening.refusedRounds);
+    ++opening.refusedRounds;
     return true;
 }
 
@@ -126,11 +137,11 @@
     }
     const FlowRoute* route = this->directory.route(key.service);
     if (route == nullptr) {
-        actions.emplace_back(SendReset { key, 0, "no_route", history(opening, now) });
-        return false;
+        return this->refuse(key, opening, "no_route", now, actions);
     }
-    const auto age = retransmissionAge(opening.retransmissions)
-        + std::chrono::duration_cast<std::chrono::milliseconds>(now - opening.firstPacket);
+    // Instead of a reset, after which the caller would have returned with a new flow, the flow gets one round of offers
+    // on the terms of a new flow. Further rounds on these terms would displace flows that can still be in time.
+    const auto age = opening.refusedRounds == 1 ? std::chrono::milliseconds(0) : opening.transmissions.age(now);
     auto urgency = FlowUrgency::InTime;
     auto limit = waitLimit(*route, urgency, age);
     auto choice = this->placement.choose(route->service, urgency, opening.tried, now);
@@ -159,6 +170,13 @@
     return true;
 }
 
+bool FlowSteering::placeAgain(const FlowKey& key, Opening& opening, TimePoint now, std::vector<SteeringAction>& actions)
+{
+    opening.exhausted = false;
+    opening.tried.clear();
+    return this->place(key, opening, now, actions);
+}
+
 void FlowSteering::handleFirstPacket(const FlowPacket& packet, std::span<const std::uint8_t> datagram, TimePoint now,
     std::vector<SteeringAction>& actions)
 {
@@ -168,12 +186,15 @@
         flow->second.lastPacket = now;
         // The backend server's answer was lost or the flow still waits for a slot: forward the retransmission to the
         // owner.
+        if (flow->second.opening) {
+            flow->second.opening->transmissions.record(packet.acknowledgement, now);
+        }
         if (flow->second.owners.size() == 1 && !this->placement.isSilent(flow->second.owners.front())) {
             const FlowRoute* route = this->directory.route(key.service);
             const auto limit = route == nullptr
                 ? std::chrono::milliseconds(0)
                 : std::max(std::chrono::milliseconds(0),
-                    waitLimit(*route, FlowUrgency::Late, retransmissionAge(packet.acknowledgement)));
+                    waitLimit(*route, FlowUrgency::Late, FirstPacketTransmissions::ageOf(packet.acknowledgement)));
             actions.emplace_back(SteerPacket { flow->second.owners.front(), SteeringPurpose::NewFlow,
                 flow->second.service, limit, 0, FlowUrgency::Late, 0, {}, {}, datagram });
             return;
@@ -182,19 +203,18 @@
     }
     const auto opening = this->openings.find(key);
     if (opening == this->openings.end() && this->openings.size() >= maxOpenings) {
-        actions.emplace_back(SendReset { key, 0, "too_many_openings" });
+        Opening rejected;
+        rejected.transmissions.record(packet.acknowledgement, now);
+        this->refuse(key, rejected, "too_many_openings", now, actions);
         return;
     }
     Opening& entry = this->openings[key];
-    if (entry.datagram.empty()) {
-        entry.firstPacket = now;
-        entry.firstTransmission = packet.acknowledgement;
-    } else if (!entry.waiting) {
+    entry.transmissions.record(packet.acknowledgement, now);
+    if (!entry.datagram.empty() && !entry.waiting && !entry.exhausted) {
         return; // the verdict on the earlier transmission is outstanding; after its timeout tick() tries another agent
     }
     entry.datagram.assign(datagram.begin(), datagram.end());
-    entry.retransmissions = packet.acknowledgement; // in an opening packet: the number of earlier transmissions
-    if (!this->place(key, entry, now, actions)) {
+    if (!this->placeAgain(key, entry, now, actions)) {
         this->openings.erase(key);
     }
 }
@@ -215,12 +235,13 @@
         flow.lastAcknowledgement = packet.acknowledgement;
         flow.closing = flow.closing || packet.finishes || packet.resets;
         // Several agents may have admitted the flow; only the one whose backend server the caller accepted responds.
-        const bool ambiguous = flow.opening && flow.opening->tried.size() > 1;
+        const auto offeredTo = flow.opening ? agentsOffered(*flow.opening) : std::vector<Endpoint>();
+        const bool ambiguous = offeredTo.size() > 1;
         if (!ambiguous) {
             flow.opening.reset();
         }
         const auto purpose = ambiguous ? SteeringPurpose::Search : SteeringPurpose::KnownFlow;
-        for (const Endpoint& owner : ambiguous ? flow.opening->tried : flow.owners) {
+        for (const Endpoint& owner : ambiguous ? offeredTo : flow.owners) {
             actions.emplace_back(
                 SteerPacket { owner, purpose, flow.service, {}, 0, FlowUrgency::InTime, 0, {}, {}, datagram });
         }
@@ -368,8 +389,10 @@
         }
         bool keep = false;
         if (opening->second.waiting) {
-            actions.emplace_back(SendReset { opening->first, 0, "no_agent", history(opening->second, now) });
-        } else if (!opening->second.exhausted) {
+            keep = this->refuse(opening->first, opening->second, "no_agent", now, actions);
+        } else if (opening->second.exhausted) {
+            keep = this->placeAgain(opening->first, opening->second, now, actions);
+        } else {
             opening->second.possiblyOpen = true;
             this->placement.recordVerdictTimeout(opening->second.tried.back());
             keep = this->place(opening->first, opening->second, now, actions);
--- a/src/coordination/FlowSteering.h
+++ b/src/coordination/FlowSteering.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/FirstPacketTransmissions.h"
 #include "coordination/FlowVerdict.h"
 #include "coordination/SteeringAction.h"
 #include "protocol/FlowPacket.h"
@@ -61,16 +62,15 @@
     // A new flow that no agent has admitted yet.
     struct Opening {
         std::vector<std::uint8_t> datagram;
-        std::vector<Endpoint> tried; // agents that were offered the flow, most recent last
-        std::vector<Offer> offers; // to the agents in `tried`
-        TimePoint firstPacket;
+        std::vector<Endpoint> tried; // agents that were offered the flow in this round, most recent last
+        std::vector<Offer> offers; // of all rounds
+        FirstPacketTransmissions transmissions;
         TimePoint deadline; // for the agent's verdict or for an agent to become available
-        std::uint32_t firstTransmission { 0 }; // number of the first transmission that arrived here
-        std::uint32_t retransmissions { 0 }; // how often the caller has retransmitted the packet
         bool waiting { false }; // for the configuration or an agent; no verdict is outstanding
         // An agent's verdict or its backend server's answer timed out: the flow may nevertheless be open there.
         bool possiblyOpen { false };
-        bool exhausted { false }; // no further agent is tried
+        bool exhausted { false }; // all agents tried have refused; the next round of offers starts at the deadline
+        std::uint32_t refusedRounds { 0 }; // rounds of offers that ended without a reset, because the flow may be open
     };
 
     struct Flow {
@@ -90,10 +90,14 @@
         const FlowPacket&, std::span<const std::uint8_t> datagram, TimePoint now, std::vector<SteeringAction>& actions);
     // Returns whether to keep the opening.
     bool place(const FlowKey&, Opening&, TimePoint now, std::vector<SteeringAction>& actions);
+    // Starts another round of offers. Returns whether to keep the opening.
+    bool placeAgain(const FlowKey&, Opening&, TimePoint now, std::vector<SteeringAction>& actions);
     void waitForAgent(Opening&, TimePoint now) const;
     static OpeningHistory history(const Opening&, TimePoint now);
+    static std::vector<Endpoint> agentsOffered(const Opening&);
     static void recordVerdict(Opening&, const Endpoint& agent, FlowVerdict, TimePoint now);
-    // Resets the flow unless it may be open at an agent. Returns whether to keep the opening.
+    // Resets the flow unless it may be open at an agent, also by an offer of another balancer. Returns whether to keep
+    // the opening.
     bool refuse(const FlowKey&, Opening&, std::string_view reason, TimePoint now, std::vector<SteeringAction>& actions);
     void handleAdmitted(const Endpoint& agent, const FlowKey&, TimePoint now);
     void handleOwned(const Endpoint& agent, const FlowKey&, TimePoint now);
