Ignore a late admission of a flow that is being searched

What callers saw: packets of an open flow went to a backend server that was not its own, and the repeats 200 ms later as well.

Cause: when the caller's second packet arrives before the verdict, the balancer searches the flow at all agents. A verdict on another offer, made after a verdict timeout, then made its agent the only owner, because the flow had no owner yet.

Change: an admission concerns a flow only until its first later packet arrives.

--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -298,9 +298,9 @@
 {
     const auto opening = this->openings.find(key);
     const auto known = this->flows.find(key);
-    const bool open = known != this->flows.end() && !known->second.opening && !known->second.owners.empty();
+    const bool open = known != this->flows.end() && !known->second.opening;
     if (open) {
-        return; // late verdict on an earlier offer; the flow is already open at another agent
+        return; // late verdict on an earlier offer; the flow is already open, possibly at another agent
     }
     Flow& flow = this->flowOf(key, now);
     if (std::find(flow.owners.begin(), flow.owners.end(), agent) == flow.owners.end()) {
