Search an open flow at every agent if the agents asked may not include its owner

What callers saw: the packets of an open flow reached other backend servers and never their own.

Cause: a balancer that had offered a flow to several agents searched its owner only among these. If another balancer had placed an earlier transmission of the first packet, none of them was the owner; an agent does not answer a search for a flow that it does not have, so the search never widened.

Change: the agents asked are candidates only if every transmission of the first packet arrived here, and only for the verdict timeout of 30 ms. Otherwise, and after a not_found of the owner, each agent of the service is searched. A search that starts before the verdict also begins with the agents asked instead of all.

The case on late admissions now compares the searched agents by name: the third agent was never offered the flow and is not asked.

--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -219,52 +219,59 @@
     }
 }
 
+void FlowSteering::markOpened(Flow& flow, TimePoint now)
+{
+    flow.opened = true;
+    if (!flow.opening) {
+        return;
+    }
+    // The flow is open at one of the agents that were offered it, unless another balancer may have offered it as well.
+    if (flow.opening->transmissions.isComplete(now)) {
+        flow.candidates = agentsOffered(*flow.opening);
+        flow.candidatesUntil = now + verdictTimeout;
+    }
+    if (flow.candidates.size() != 1) {
+        flow.owners.clear(); // until an agent confirms that it owns the flow
+    }
+    flow.opening.reset();
+}
+
 void FlowSteering::handleLaterPacket(const FlowPacket& packet, std::span<const std::uint8_t> datagram, TimePoint now,
     std::vector<SteeringAction>& actions)
 {
     const FlowKey key = packet.keyFromCaller();
+    const FlowRoute* route = this->directory.route(key.service);
     const auto found = this->flows.find(key);
-    if (found != this->flows.end() && !found->second.owners.empty()) {
-        Flow& flow = found->second;
-        if (this->directory.hasRoutes() && this->directory.route(key.service) == nullptr) {
-            actions.emplace_back(SendReset { key, packet.acknowledgement, "route_removed" });
-            this->flows.erase(found);
-            return;
-        }
-        flow.lastPacket = now;
-        flow.lastAcknowledgement = packet.acknowledgement;
-        flow.opened = true;
-        flow.closing = flow.closing || packet.finishes || packet.resets;
-        // Several agents may have admitted the flow; only the one whose backend server the caller accepted responds.
-        const auto offeredTo = flow.opening ? agentsOffered(*flow.opening) : std::vector<Endpoint>();
-        const bool ambiguous = offeredTo.size() > 1;
-        if (!ambiguous) {
-            flow.opening.reset();
-        }
-        const auto purpose = ambiguous ? SteeringPurpose::Search : SteeringPurpose::KnownFlow;
-        for (const Endpoint& owner : ambiguous ? offeredTo : flow.owners) {
-            actions.emplace_back(
-                SteerPacket { owner, purpose, flow.service, {}, 0, FlowUrgency::InTime, 0, {}, {}, datagram });
-        }
+    const bool owned = found != this->flows.end() && !found->second.owners.empty();
+    if (route == nullptr && this->directory.hasRoutes()) {
+        actions.emplace_back(SendReset { key, packet.acknowledgement, owned ? "route_removed" : "no_route" });
+        this->flows.erase(key);
         return;
     }
-    const FlowRoute* route = this->directory.route(key.service);
-    if (route == nullptr) {
-        if (this->directory.hasRoutes()) {
-            actions.emplace_back(SendReset { key, packet.acknowledgement, "no_route" });
-        }
+    if (route == nullptr && !owned) {
         return;
     }
-    // The caller has received a backend server's answer, so the flow is open at one of the agents that were tried.
-    this->openings.erase(key);
     Flow& flow = this->flows[key];
-    flow.service = serviceHash(route->service);
-    flow.opened = true;
+    if (const auto opening = this->openings.extract(key)) {
+        flow.opening = std::move(opening.mapped());
+    }
     flow.lastPacket = now;
     flow.lastAcknowledgement = packet.acknowledgement;
-    for (const Endpoint& agent : this->placement.agentsOf(route->service)) {
-        actions.emplace_back(SteerPacket {
-            agent, SteeringPurpose::Search, flow.service, {}, 0, FlowUrgency::InTime, 0, {}, {}, datagram });
+    flow.closing = flow.closing || packet.finishes || packet.resets;
+    if (route != nullptr) {
+        flow.service = serviceHash(route->service);
+    }
+    if (!flow.opened) {
+        markOpened(flow, now);
+    }
+    const auto purpose = flow.owners.empty() ? SteeringPurpose::Search : SteeringPurpose::KnownFlow;
+    std::vector<Endpoint> agents = flow.owners;
+    if (agents.empty() && route != nullptr) {
+        agents = now < flow.candidatesUntil ? flow.candidates : this->placement.agentsOf(route->service);
+    }
+    for (const Endpoint& agent : agents) {
+        actions.emplace_back(
+            SteerPacket { agent, purpose, flow.service, {}, 0, FlowUrgency::InTime, 0, {}, {}, datagram });
     }
 }
 
@@ -325,6 +332,7 @@
     this->openings.erase(key);
     Flow& flow = this->flowOf(key, now);
     flow.owners.assign(1, agent);
+    flow.opened = true;
     flow.opening.reset();
 }
 
@@ -347,6 +355,7 @@
         return;
     }
     Flow& flow = found->second;
+    flow.candidatesUntil = now;
     if (flow.opening && !flow.opened) {
         // The agent admitted the flow, but its backend server has not answered: another agent may take it.
         const auto placed = this->openings.insert_or_assign(key, std::move(*flow.opening)).first;
--- a/src/coordination/FlowSteering.h
+++ b/src/coordination/FlowSteering.h
@@ -75,6 +75,8 @@
 
     struct Flow {
         std::vector<Endpoint> owners; // more than one if several agents have admitted the flow
+        std::vector<Endpoint> candidates; // agents at which the owner of an open flow is searched until candidatesUntil
+        TimePoint candidatesUntil; // from then on every agent of the service is searched
         std::uint64_t service { 0 }; // serviceHash(); 0: unknown
         TimePoint lastPacket;
         std::uint32_t lastAcknowledgement { 0 };
@@ -103,6 +105,7 @@
     void handleAdmitted(const Endpoint& agent, const FlowKey&, TimePoint now);
     void handleOwned(const Endpoint& agent, const FlowKey&, TimePoint now);
     Flow& flowOf(const FlowKey&, TimePoint now);
+    static void markOpened(Flow&, TimePoint now);
     // Handles a verdict by which the agent does not own the flow or no longer owns it.
     void handleNotOwned(
         const Endpoint& agent, const FlowKey&, FlowVerdict, TimePoint now, std::vector<SteeringAction>& actions);
--- a/test/unit/FlowSteeringSearchTest.cpp
+++ b/test/unit/FlowSteeringSearchTest.cpp
@@ -10,13 +10,14 @@
 {
     SteeringFixture balancer { 3 };
     balancer.sendFirst();
+    const Endpoint first = balancer.asked().back();
     balancer.tick(milliseconds(31));
     const Endpoint second = balancer.asked().back();
     balancer.sendLater(milliseconds(32));
-    CHECK(balancer.asked().size() == 3);
+    CHECK(balancer.asked() == std::vector { first, second });
     balancer.receiveVerdict(second, FlowVerdict::Admitted, milliseconds(33));
     balancer.sendLater(milliseconds(34));
-    CHECK(balancer.asked().size() == 3);
+    CHECK(balancer.asked() == std::vector { first, second });
 }
 
 // Guards against FLOW: packets go only to the agents that this balancer asked, though another balancer placed the flow.
