Keep what is known of a flow when its first packet arrives again

What callers saw: an open flow was reset although its backend server was sound.

Cause: when a first packet arrived for a flow whose owner was silent, not known, or one of several, the balancer dropped its record and started anew. Agents that had been offered the flow were no longer searched for its later packets, and a delayed first packet that arrived after later ones ended in a reset when the agents were full.

Change: the record of the opening is kept, and the flow counts as possibly open.

Evidence: the new case failed before this change (reset) and passes now.

--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -199,6 +199,11 @@
                 flow->second.service, limit, 0, FlowUrgency::Late, 0, {}, {}, datagram });
             return;
         }
+        // The flow may be open at one of these agents, so another round of offers must not end with a reset.
+        Opening reopened = flow->second.opening ? std::move(*flow->second.opening) : Opening();
+        reopened.possiblyOpen = true;
+        reopened.exhausted = true;
+        this->openings.insert_or_assign(key, std::move(reopened));
         this->flows.erase(flow);
     }
     const auto opening = this->openings.find(key);
--- a/test/unit/FlowSteeringResetTest.cpp
+++ b/test/unit/FlowSteeringResetTest.cpp
@@ -181,3 +181,13 @@
     balancer.sendFirst(2, milliseconds(400));
     CHECK(balancer.asked().size() == 1);
 }
+
+// Guards against FLOW: a first packet delayed on another path makes the balancer forget that the flow is open.
+TEST_CASE("a first packet that arrives after later packets of its flow does not lead to a reset")
+{
+    SteeringFixture balancer;
+    balancer.sendLater();
+    balancer.sendFirst(0, milliseconds(1));
+    balancer.refuseEverywhere(milliseconds(3));
+    CHECK_FALSE(balancer.resets());
+}
