Reset an open flow without a route only if its route was removed

What callers saw: an open flow on a route that had just been added was reset although its backend server was sound.

Cause: a balancer with an older configuration, for example after a restart, answered a later packet on an unknown route with a reset, although another balancer with the newer configuration had opened the flow.

Change: HostDirectory remembers the routes that newer configurations removed, for the lifetime of a flow. A later packet is reset only on such a route; on a route that was never known it is dropped, and the caller repeats it.

--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -248,13 +248,13 @@
     const FlowRoute* route = this->directory.route(key.service);
     const auto found = this->flows.find(key);
     const bool owned = found != this->flows.end() && !found->second.owners.empty();
-    if (route == nullptr && this->directory.hasRoutes()) {
-        actions.emplace_back(SendReset { key, packet.acknowledgement, owned ? "route_removed" : "no_route" });
+    if (route == nullptr && this->directory.isRemovedRoute(key.service)) {
+        actions.emplace_back(SendReset { key, packet.acknowledgement, "route_removed" });
         this->flows.erase(key);
         return;
     }
     if (route == nullptr && !owned) {
-        return;
+        return; // another balancer may have a newer configuration with a route to the address
     }
     Flow& flow = this->flows[key];
     if (const auto opening = this->openings.extract(key)) {
--- a/src/state/HostDirectory.cpp
+++ b/src/state/HostDirectory.cpp
@@ -51,14 +51,27 @@
     return Effect::None;
 }
 
+void HostDirectory::applyRoutes(const RouteTable& next, TimePoint now)
+{
+    for (const auto& [address, route] : this->table.routes) {
+        if (!next.routes.contains(address)) {
+            this->removedRoutes[address] = now;
+        }
+    }
+    std::erase_if(this->removedRoutes, [&](const auto& item) {
+        return next.routes.contains(item.first) || now - item.second > removedRouteRetention;
+    });
+    this->table = next;
+}
+
 HostDirectory::Effect HostDirectory::apply(const DirectoryChange& change, TimePoint now)
 {
     return std::visit(Overloaded {
-                          [this](const RouteTableWritten& written) {
+                          [&](const RouteTableWritten& written) {
                               if (written.table.version <= this->table.version) {
                                   return written.table == this->table ? Effect::None : Effect::RefusedOlder;
                               }
-                              this->table = written.table;
+                              this->applyRoutes(written.table, now);
                               return Effect::RoutesChanged;
                           },
                           [&](const HostWritten& written) { return this->applyHost(written.entry, now); },
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -50,6 +50,10 @@
     const RouteTable& routes() const { return this->table; }
     bool hasRoutes() const { return this->table.version > 0; }
 
+    // Whether a configuration that this process knew had a route to the address within the last removedRouteRetention,
+    // and a newer one removed it.
+    bool isRemovedRoute(const Endpoint& address) const { return this->removedRoutes.contains(address); }
+
     // Null when the configuration in force has no route to the address.
     const FlowRoute* route(const Endpoint& address) const;
 
@@ -60,11 +64,17 @@
     // out of use after 3 s.
     static constexpr std::chrono::milliseconds missingHostTimeout { 2200 };
 
+    // Maximum lifetime of a flow on the users' platform; older flows need no answer.
+    static constexpr std::chrono::milliseconds removedRouteRetention { 60000 };
+
 private:
     Effect applyHost(const HostEntry&, TimePoint now);
     Effect applyRemoval(const HostRemoved&, TimePoint now);
 
+    void applyRoutes(const RouteTable&, TimePoint now);
+
     RouteTable table;
+    std::map<Endpoint, TimePoint> removedRoutes; // with the time of their removal
     std::map<std::string, KnownHost> known;
     std::set<std::string> listed;
 };
--- a/test/unit/HostDirectoryTest.cpp
+++ b/test/unit/HostDirectoryTest.cpp
@@ -104,3 +104,23 @@
     CHECK(directory.apply(HostRemoved { "x", true }, start) == HostDirectory::Effect::RefusedMalformed);
     CHECK(directory.hosts().size() == 1);
 }
+
+// Guards against open flows on removed routes that are left waiting, and against unbounded memory of such routes.
+TEST_CASE("a removed route is remembered for the lifetime of a flow")
+{
+    HostDirectory directory;
+    directory.apply(routes(1, "job"), start);
+    CHECK_FALSE(directory.isRemovedRoute({ 1, 443 }));
+    directory.apply(RouteTableWritten { { 2, {}, milliseconds(15000) } }, start);
+    CHECK(directory.isRemovedRoute({ 1, 443 }));
+    SUBCASE("the route is added again")
+    {
+        directory.apply(routes(3, "job"), start);
+        CHECK_FALSE(directory.isRemovedRoute({ 1, 443 }));
+    }
+    SUBCASE("a later configuration after the lifetime")
+    {
+        directory.apply(RouteTableWritten { { 3, {}, milliseconds(15000) } }, start + milliseconds(60001));
+        CHECK_FALSE(directory.isRemovedRoute({ 1, 443 }));
+    }
+}
