Do not deliver later packets of a flow that the caller opened elsewhere

What callers saw: packets of an open flow reached a backend server that was not its own, which then took part in a flow that it never had.

Cause: when a caller accepted another backend server's answer, the agent removed its half-open flow. The next packet of the same flow, sent to several agents by a searching balancer, was then one of an unknown flow, which an agent delivers on trial for the first 60 s after its start.

Change: the agent remembers such flows for 2 s after their last packet, delivers none of their packets, and answers not_found to a balancer that takes it for the owner.

--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -20,6 +20,9 @@
 // A backend server immediately returns a packet of a flow that it does not hold.
 constexpr std::chrono::milliseconds tentativeLifetime { 2000 };
 
+// A balancer sends packets of a flow to several agents only until the owner has answered.
+constexpr std::chrono::milliseconds declinedRetention { 2000 };
+
 // Flows that are idle for longer are removed; if such a flow resumes, the balancers search for its owner again.
 constexpr std::chrono::milliseconds idleLimit { 30000 };
 
@@ -152,6 +155,10 @@
         actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::Admitted, {}, {} });
         return;
     }
+    if (this->declinedFlows.contains(key)) {
+        actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::RefusedByBackendServer, {}, {} });
+        return;
+    }
     const bool isHeld
         = std::any_of(this->held.begin(), this->held.end(), [&](const auto& item) { return item.second.flow == key; });
     if (isHeld) {
@@ -190,6 +197,14 @@
     std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions)
 {
     const FlowKey key = packet.keyFromCaller();
+    const auto declined = this->declinedFlows.find(key);
+    if (declined != this->declinedFlows.end()) {
+        declined->second = now;
+        if (!search) {
+            actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::NotFound, {}, {} });
+        }
+        return;
+    }
     // If the agent started less than flowLifetime ago, its backend server may hold flows from before the start.
     if (now - this->startedAt > this->flowLifetime) {
         if (!search) {
@@ -219,6 +234,7 @@
         && (!flow->hostAnswered || packet.acknowledgement != flow->hostSequence + 1)) {
         // The caller has accepted the answer of another backend server to its first packet.
         this->flows.erase(key);
+        this->declinedFlows.insert_or_assign(key, now);
         if (!search) {
             actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::NotFound, {}, {} });
         }
@@ -408,6 +424,7 @@
     this->flows.expire(idleLimit, now);
     std::erase_if(
         this->tentativeDeliveries, [&](const auto& item) { return now - item.second.since > tentativeLifetime; });
+    std::erase_if(this->declinedFlows, [&](const auto& item) { return now - item.second > declinedRetention; });
 }
 
 }
--- a/src/coordination/HostAdmission.h
+++ b/src/coordination/HostAdmission.h
@@ -124,6 +124,8 @@
     TimePoint demandUpdatedAt;
     std::vector<HeldFlow> delivered; // keeps the datagrams alive that the last actions refer to
     std::unordered_map<FlowKey, TentativeDelivery, FlowKeyHash> tentativeDeliveries;
+    // Flows that the caller has opened at another backend server, with the time of the last packet.
+    std::unordered_map<FlowKey, TimePoint, FlowKeyHash> declinedFlows;
     TimePoint hostSilentUntil;
     TimePoint nextSweep;
 };
