Do not take a repeated SYN+ACK as proof that a flow is open

What callers saw: the packets of an open flow went to another backend server, and when that one returned them, the flow was reset.

Cause: an agent that started less than 60 s ago delivers packets of unknown flows to its backend server and took any packet that came back as proof of ownership. A backend server that was offered the flow as well is half-open and repeats its SYN+ACK. The agent then answered owned, the balancer sent it all packets of the flow, and the first returned one counted as lost.

Change: the answer to a first packet proves nothing; any other packet does.

--- a/src/app/AgentNode.cpp
+++ b/src/app/AgentNode.cpp
@@ -122,8 +122,7 @@
         },
         [this](const ReportRecoveredFlow& recovered) {
             this->metrics.events("flow_recovered").Increment();
-            this->log.log(EventLog::Importance::Notable, "flow_recovered",
-                { { "flow", formatFlow(recovered.flow) }, { "opens", recovered.opens ? 1 : 0 } });
+            this->log.log(EventLog::Importance::Notable, "flow_recovered", { { "flow", formatFlow(recovered.flow) } });
         },
     };
     for (const AgentAction& action : this->actions) {
--- a/src/coordination/AgentAction.h
+++ b/src/coordination/AgentAction.h
@@ -63,7 +63,6 @@
 // Report that the agent took over a flow that its backend server holds from before the agent's start.
 struct ReportRecoveredFlow {
     FlowKey flow;
-    bool opens { false }; // the backend server's packet is its answer to a first packet
 };
 
 using AgentAction = std::variant<DeliverToBackendServer, DeliverToCaller, SendVerdict, ReportRequest, ReportLostRequest,
--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -331,11 +331,12 @@
     HostFlow* flow = this->flows.find(key);
     if (flow == nullptr) {
         const auto delivery = this->tentativeDeliveries.find(key);
-        if (delivery != this->tentativeDeliveries.end()) {
+        // A backend server repeats its answer to a first packet also for a flow that is open elsewhere.
+        if (delivery != this->tentativeDeliveries.end() && !packet.opens) {
             // The flow was opened before this agent started.
             HostFlow& found = this->flows.open(key, delivery->second.balancer, now);
             this->flows.setPhase(found, HostFlowPhase::Idle, now);
-            actions.emplace_back(ReportRecoveredFlow { key, packet.opens });
+            actions.emplace_back(ReportRecoveredFlow { key });
             actions.emplace_back(SendVerdict { delivery->second.balancer, key, FlowVerdict::Owned, {}, {} });
             this->tentativeDeliveries.erase(delivery);
         }
