Tell the balancer when its owner's backend server returned a packet

What callers saw: the packets of an open flow went to another backend server again and again, and never to their own.

Cause: an agent that started less than 60 s ago delivers a packet of an unknown flow on trial. When the backend server returned it, the agent forgot it without a verdict, so that a balancer with a wrong owner never searched.

Change: a returned packet that was not sent as a search is answered not_found.

--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -212,7 +212,7 @@
         }
         return;
     }
-    this->tentativeDeliveries.insert_or_assign(key, TentativeDelivery { balancer, now });
+    this->tentativeDeliveries.insert_or_assign(key, TentativeDelivery { balancer, search, now });
     actions.emplace_back(DeliverToBackendServer { datagram });
 }
 
@@ -297,8 +297,11 @@
     HostFlow* flow = this->flows.find(key);
     if (flow == nullptr) {
         // The flow is held by another agent's backend server or by none.
-        if (this->tentativeDeliveries.erase(key) > 0) {
+        if (const auto delivery = this->tentativeDeliveries.extract(key)) {
             actions.emplace_back(ReportReturnedPacket { key, false });
+            if (!delivery.mapped().search) {
+                actions.emplace_back(SendVerdict { delivery.mapped().balancer, key, FlowVerdict::NotFound, {}, {} });
+            }
         }
         return;
     }
--- a/src/coordination/HostAdmission.h
+++ b/src/coordination/HostAdmission.h
@@ -91,6 +91,7 @@
     // A packet of an unknown flow that was delivered because the backend server may hold the flow.
     struct TentativeDelivery {
         Endpoint balancer;
+        bool search { false }; // otherwise the balancer takes this agent for the owner
         TimePoint since;
     };
 
