Drop a held flow that its caller has opened elsewhere

Cause: a later packet of a held flow was one of an unknown flow to the agent, and the first packet was delivered when a slot became free.

Change: such a packet drops the held flow and marks it as open elsewhere. Neither this nor a declined answer is concluded in the first 1.4 s after the agent's start, when its backend server may have answered the caller before the start.

--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -20,6 +20,9 @@
 // A backend server immediately returns a packet of a flow that it does not hold.
 constexpr std::chrono::milliseconds tentativeLifetime { 2000 };
 
+// The caller abandons a connection attempt 1.4 s after its first packet.
+constexpr std::chrono::milliseconds openingLifetime { 1400 };
+
 // A balancer sends packets of a flow to several agents only until the owner has answered.
 constexpr std::chrono::milliseconds declinedRetention { 2000 };
 
@@ -63,6 +66,11 @@
 {
 }
 
+bool HostAdmission::mayHaveBeenAnsweredBeforeStart(TimePoint now) const
+{
+    return now - this->startedAt < openingLifetime;
+}
+
 std::uint32_t HostAdmission::heldLate() const
 {
     const auto firstLate = this->held.lower_bound({ FlowUrgency::Late, 0 });
@@ -197,6 +205,11 @@
     std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions)
 {
     const FlowKey key = packet.keyFromCaller();
+    // The caller sends later packets only after it has accepted an answer, so a held flow is open elsewhere.
+    const auto dropped = std::erase_if(this->held, [&](const auto& item) { return item.second.flow == key; });
+    if (dropped > 0 && !this->mayHaveBeenAnsweredBeforeStart(now)) {
+        this->declinedFlows.insert_or_assign(key, now);
+    }
     const auto declined = this->declinedFlows.find(key);
     if (declined != this->declinedFlows.end()) {
         declined->second = now;
@@ -233,8 +246,11 @@
     if (notYetUsed && packet.acknowledges
         && (!flow->hostAnswered || packet.acknowledgement != flow->hostSequence + 1)) {
         // The caller has accepted the answer of another backend server to its first packet.
+        const bool answered = flow->hostAnswered;
         this->flows.erase(key);
-        this->declinedFlows.insert_or_assign(key, now);
+        if (answered || !this->mayHaveBeenAnsweredBeforeStart(now)) {
+            this->declinedFlows.insert_or_assign(key, now);
+        }
         if (!search) {
             actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::NotFound, {}, {} });
         }
--- a/src/coordination/HostAdmission.h
+++ b/src/coordination/HostAdmission.h
@@ -105,6 +105,8 @@
         std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions);
     void recordAnswerStart(HostFlow&, TimePoint now);
     void reportAnswer(HostFlow&, const FlowKey&, const FlowPacket&, TimePoint now, std::vector<AgentAction>& actions);
+    // Whether a caller that is opening a flow may have been answered before this agent started.
+    bool mayHaveBeenAnsweredBeforeStart(TimePoint now) const;
     std::uint32_t heldLate() const;
     double decayedDemand(TimePoint now) const;
     void updateMeanWork(std::chrono::microseconds work);
--- a/test/unit/HostAdmissionTest.cpp
+++ b/test/unit/HostAdmissionTest.cpp
@@ -254,3 +254,36 @@
     agent.returned();
     CHECK(agent.verdicts() == std::vector { FlowVerdict::NotFound });
 }
+
+// Guards against a slot for a held flow whose caller has opened it at another backend server meanwhile.
+TEST_CASE("a held flow is dropped when a later packet shows that it is open elsewhere")
+{
+    Agent agent(seconds(2));
+    for (std::uint16_t port = 1; port <= 4; ++port) {
+        agent.offer("job", { caller.address, port });
+    }
+    agent.offer();
+    CHECK_FALSE(agent.delivered());
+    REQUIRE(agent.admission.currentLoad(start).held == 1);
+    agent.fromCaller([](FlowPacket&) {}, true);
+    CHECK_FALSE(agent.delivered());
+    CHECK(agent.admission.currentLoad(start).held == 0);
+}
+
+// Guards against FLOW: a restarted agent withholds the packets of a flow that its backend server opened before.
+TEST_CASE(
+    "an agent that has just started delivers later packets of a flow whose retransmission it has held or delivered")
+{
+    Agent agent(seconds(1));
+    SUBCASE("held")
+    {
+        for (std::uint16_t port = 1; port <= 4; ++port) {
+            agent.offer("job", { caller.address, port });
+        }
+    }
+    SUBCASE("delivered") { }
+    agent.offer();
+    agent.fromCaller([](FlowPacket&) {}, true);
+    agent.fromCaller([](FlowPacket&) {}, true);
+    CHECK(agent.delivered());
+}
