--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -31,23 +31,11 @@
 // fraction of the time until its caller times out.
 constexpr double waitShareOfRemainingTime = 0.6;
 
-// The caller retransmits its first packet after 200 ms and again after 600 ms.
-constexpr std::chrono::milliseconds firstRetransmissionAge { 200 };
-constexpr std::chrono::milliseconds secondRetransmissionAge { 600 };
-
 std::chrono::milliseconds scale(std::chrono::milliseconds duration, double factor)
 {
     return std::chrono::milliseconds(static_cast<std::int64_t>(factor * static_cast<double>(duration.count())));
 }
 
-std::chrono::milliseconds retransmissionAge(std::uint32_t retransmissions)
-{
-    if (retransmissions == 0) {
-        return std::chrono::milliseconds(0);
-    }
-    return retransmissions == 1 ? firstRetransmissionAge : secondRetransmissionAge;
-}
-
 // Maximum time that the flow may wait for a slot. age: how long its caller has already waited.
 std::chrono::milliseconds waitLimit(const FlowRoute& route, FlowUrgency urgency, std::chrono::milliseconds age)
 {
@@ -57,6 +45,10 @@
     return scale(route.timeout - age, waitShareOfRemainingTime);
 }
 
+// A flow that was refused but may not be reset is offered again after this time, and then at doubling intervals: each
+// slot becomes free about twice meanwhile, because requests take about 20 ms on average.
+constexpr std::chrono::milliseconds firstRoundDelay { 40 };
+
 // Covers retransmissions after both endpoints have finished.
 constexpr std::chrono::milliseconds closedFlowLifetime { 2000 };
 
@@ -81,15 +73,59 @@
     }
 }
 
+OpeningHistory FlowSteering::history(const Opening& opening, TimePoint now)
+{
+    const auto since
+        = [](TimePoint from, TimePoint to) { return std::chrono::duration_cast<std::chrono::milliseconds>(to - from); };
+    const FirstPacketTransmissions& transmissions = opening.transmissions;
+    OpeningHistory history { transmissions.first(), transmissions.last(), transmissions.age(now),
+        opening.possiblyOpen || !transmissions.isComplete(now), {} };
+    history.offers.reserve(opening.offers.size());
+    for (const Offer& offer : opening.offers) {
+        history.offers.push_back(
+            { offer.agent, offer.verdict, since(offer.sentAt, offer.verdict ? offer.verdictAt : now) });
+    }
+    return history;
+}
+
+std::vector<Endpoint> FlowSteering::agentsOffered(const Opening& opening)
+{
+    std::vector<Endpoint> agents;
+    for (const Offer& offer : opening.offers) {
+        if (std::find(agents.begin(), agents.end(), offer.agent) == agents.end()) {
+            agents.push_back(offer.agent);
+        }
+    }
+    return agents;
+}
+
+void FlowSteering::recordVerdict(Opening& opening, const Endpoint& agent, FlowVerdict verdict, TimePoint now)
+{
+    const auto offer = std::find_if(opening.offers.rbegin(), opening.offers.rend(),
+        [&](const Offer& candidate) { return candidate.agent == agent; });
+    if (offer != opening.offers.rend()) {
+        offer->verdict = verdict;
+        offer->verdictAt = now;
+    }
+}
+
 bool FlowSteering::refuse(
     const FlowKey& key, Opening& opening, std::string_view reason, TimePoint now, std::vector<SteeringAction>& actions)
 {
-    if (!opening.possiblyOpen) {
-        actions.emplace_back(SendReset { key, 0, reason });
+    if (!opening.possiblyOpen && opening.transmissions.isComplete(now)) {
+        actions.emplace_back(SendReset { key, 0, reason, history(opening, now) });
+        return false;
+    }
+    if (opening.transmissions.age(now) >= openingLifetime) {
         return false;
     }
+    if (opening.refusedRounds == 0) {
+        actions.emplace_back(WithholdReset { key, reason, history(opening, now) });
+    }
     opening.exhausted = true;
-    opening.deadline = now + openingLifetime;
+    opening.waiting = false;
+    opening.deadline = now + firstRoundDelay * (1U << opening.refusedRounds);
+    ++opening.refusedRounds;
     return true;
 }
 
@@ -101,11 +137,11 @@
     }
     const FlowRoute* route = this->directory.route(key.service);
     if (route == nullptr) {
-        actions.emplace_back(SendReset { key, 0, "no_route" });
-        return false;
+        return this->refuse(key, opening, "no_route", now, actions);
     }
-    const auto age = retransmissionAge(opening.retransmissions)
-        + std::chrono::duration_cast<std::chrono::milliseconds>(now - opening.firstPacket);
+    // Instead of a reset, after which the caller would have returned with a new flow, the flow gets one round of offers
+    // on the terms of a new flow. Further rounds on these terms would displace flows that can still be in time.
+    const auto age = opening.refusedRounds == 1 ? std::chrono::milliseconds(0) : opening.transmissions.age(now);
     auto urgency = FlowUrgency::InTime;
     auto limit = waitLimit(*route, urgency, age);
     auto choice = this->placement.choose(route->service, urgency, opening.tried, now);
@@ -126,6 +162,7 @@
     }
     opening.waiting = false;
     opening.tried.push_back(choice->agent);
+    opening.offers.push_back({ choice->agent, now, std::nullopt, {} });
     opening.deadline = now + verdictTimeout;
     this->placement.recordFlowSent(choice->agent);
     actions.emplace_back(SteerPacket { choice->agent, SteeringPurpose::NewFlow, serviceHash(route->service), limit,
@@ -133,6 +170,13 @@
     return true;
 }
 
+bool FlowSteering::placeAgain(const FlowKey& key, Opening& opening, TimePoint now, std::vector<SteeringAction>& actions)
+{
+    opening.exhausted = false;
+    opening.tried.clear();
+    return this->place(key, opening, now, actions);
+}
+
 void FlowSteering::handleFirstPacket(const FlowPacket& packet, std::span<const std::uint8_t> datagram, TimePoint now,
     std::vector<SteeringAction>& actions)
 {
@@ -142,79 +186,97 @@
         flow->second.lastPacket = now;
         // The backend server's answer was lost or the flow still waits for a slot: forward the retransmission to the
         // owner.
+        if (flow->second.opening) {
+            flow->second.opening->transmissions.record(packet.acknowledgement, now);
+        }
         if (flow->second.owners.size() == 1 && !this->placement.isSilent(flow->second.owners.front())) {
             const FlowRoute* route = this->directory.route(key.service);
             const auto limit = route == nullptr
                 ? std::chrono::milliseconds(0)
                 : std::max(std::chrono::milliseconds(0),
-                    waitLimit(*route, FlowUrgency::Late, retransmissionAge(packet.acknowledgement)));
+                    waitLimit(*route, FlowUrgency::Late, FirstPacketTransmissions::ageOf(packet.acknowledgement)));
             actions.emplace_back(SteerPacket { flow->second.owners.front(), SteeringPurpose::NewFlow,
                 flow->second.service, limit, 0, FlowUrgency::Late, 0, {}, {}, datagram });
             return;
         }
+        // The flow may be open at one of these agents, so another round of offers must not end with a reset.
+        Opening reopened = flow->second.opening ? std::move(*flow->second.opening) : Opening();
+        reopened.possiblyOpen = true;
+        reopened.exhausted = true;
+        this->openings.insert_or_assign(key, std::move(reopened));
         this->flows.erase(flow);
     }
     const auto opening = this->openings.find(key);
     if (opening == this->openings.end() && this->openings.size() >= maxOpenings) {
-        actions.emplace_back(SendReset { key, 0, "too_many_openings" });
+        Opening rejected;
+        rejected.transmissions.record(packet.acknowledgement, now);
+        this->refuse(key, rejected, "too_many_openings", now, actions);
         return;
     }
     Opening& entry = this->openings[key];
-    if (entry.datagram.empty()) {
-        entry.firstPacket = now;
-    } else if (!entry.waiting) {
+    entry.transmissions.record(packet.acknowledgement, now);
+    if (!entry.datagram.empty() && !entry.waiting && !entry.exhausted) {
         return; // the verdict on the earlier transmission is outstanding; after its timeout tick() tries another agent
     }
     entry.datagram.assign(datagram.begin(), datagram.end());
-    entry.retransmissions = packet.acknowledgement; // in an opening packet: the number of earlier transmissions
-    if (!this->place(key, entry, now, actions)) {
+    if (!this->placeAgain(key, entry, now, actions)) {
         this->openings.erase(key);
     }
 }
 
+void FlowSteering::markOpened(Flow& flow, TimePoint now)
+{
+    flow.opened = true;
+    if (!flow.opening) {
+        return;
+    }
+    // The flow is open at one of the agents that were offered it, unless another balancer may have offered it as well.
+    if (flow.opening->transmissions.isComplete(now)) {
+        flow.candidates = agentsOffered(*flow.opening);
+        flow.candidatesUntil = now + verdictTimeout;
+    }
+    if (flow.candidates.size() != 1) {
+        flow.owners.clear(); // until an agent confirms that it owns the flow
+    }
+    flow.opening.reset();
+}
+
 void FlowSteering::handleLaterPacket(const FlowPacket& packet, std::span<const std::uint8_t> datagram, TimePoint now,
     std::vector<SteeringAction>& actions)
 {
     const FlowKey key = packet.keyFromCaller();
+    const FlowRoute* route = this->directory.route(key.service);
     const auto found = this->flows.find(key);
-    if (found != this->flows.end() && !found->second.owners.empty()) {
-        Flow& flow = found->second;
-        if (this->directory.hasRoutes() && this->directory.route(key.service) == nullptr) {
-            actions.emplace_back(SendReset { key, packet.acknowledgement, "route_removed" });
-            this->flows.erase(found);
-            return;
-        }
-        flow.lastPacket = now;
-        flow.lastAcknowledgement = packet.acknowledgement;
-        flow.closing = flow.closing || packet.finishes || packet.resets;
-        // Several agents may have admitted the flow; only the one whose backend server the caller accepted responds.
-        const bool ambiguous = flow.opening && flow.opening->tried.size() > 1;
-        if (!ambiguous) {
-            flow.opening.reset();
-        }
-        const auto purpose = ambiguous ? SteeringPurpose::Search : SteeringPurpose::KnownFlow;
-        for (const Endpoint& owner : ambiguous ? flow.opening->tried : flow.owners) {
-            actions.emplace_back(
-                SteerPacket { owner, purpose, flow.service, {}, 0, FlowUrgency::InTime, 0, {}, {}, datagram });
-        }
+    const bool owned = found != this->flows.end() && !found->second.owners.empty();
+    if (route == nullptr && this->directory.isRemovedRoute(key.service)) {
+        actions.emplace_back(SendReset { key, packet.acknowledgement, "route_removed" });
+        this->flows.erase(key);
         return;
     }
-    const FlowRoute* route = this->directory.route(key.service);
-    if (route == nullptr) {
-        if (this->directory.hasRoutes()) {
-            actions.emplace_back(SendReset { key, packet.acknowledgement, "no_route" });
-        }
-        return;
+    if (route == nullptr && !owned) {
+        return; // another balancer may have a newer configuration with a route to the address
     }
-    // The caller has received a backend server's answer, so the flow is open at one of the agents that were tried.
-    this->openings.erase(key);
     Flow& flow = this->flows[key];
-    flow.service = serviceHash(route->service);
+    if (const auto opening = this->openings.extract(key)) {
+        flow.opening = std::move(opening.mapped());
+    }
     flow.lastPacket = now;
     flow.lastAcknowledgement = packet.acknowledgement;
-    for (const Endpoint& agent : this->placement.agentsOf(route->service)) {
-        actions.emplace_back(SteerPacket {
-            agent, SteeringPurpose::Search, flow.service, {}, 0, FlowUrgency::InTime, 0, {}, {}, datagram });
+    flow.closing = flow.closing || packet.finishes || packet.resets;
+    if (route != nullptr) {
+        flow.service = serviceHash(route->service);
+    }
+    if (!flow.opened) {
+        markOpened(flow, now);
+    }
+    const auto purpose = flow.owners.empty() ? SteeringPurpose::Search : SteeringPurpose::KnownFlow;
+    std::vector<Endpoint> agents = flow.owners;
+    if (agents.empty() && route != nullptr) {
+        agents = now < flow.candidatesUntil ? flow.candidates : this->placement.agentsOf(route->service);
+    }
+    for (const Endpoint& agent : agents) {
+        actions.emplace_back(
+            SteerPacket { agent, purpose, flow.service, {}, 0, FlowUrgency::InTime, 0, {}, {}, datagram });
     }
 }
 
@@ -250,9 +312,9 @@
 {
     const auto opening = this->openings.find(key);
     const auto known = this->flows.find(key);
-    const bool open = known != this->flows.end() && !known->second.opening && !known->second.owners.empty();
+    const bool open = known != this->flows.end() && !known->second.opening;
     if (open) {
-        return; // late verdict on an earlier offer; the flow is already open at another agent
+        return; // late verdict on an earlier offer; the flow is already open, possibly at another agent
     }
     Flow& flow = this->flowOf(key, now);
     if (std::find(flow.owners.begin(), flow.owners.end(), agent) == flow.owners.end()) {
@@ -262,6 +324,7 @@
         return;
     }
     const auto& tried = opening->second.tried;
+    recordVerdict(opening->second, agent, FlowVerdict::Admitted, now);
     if (!opening->second.waiting && !tried.empty() && tried.back() == agent) {
         this->placement.recordVerdict(agent);
     }
@@ -274,6 +337,7 @@
     this->openings.erase(key);
     Flow& flow = this->flowOf(key, now);
     flow.owners.assign(1, agent);
+    flow.opened = true;
     flow.opening.reset();
 }
 
@@ -283,6 +347,7 @@
     const auto opening = this->openings.find(key);
     if (opening != this->openings.end()) {
         const auto& tried = opening->second.tried;
+        recordVerdict(opening->second, agent, verdict, now);
         opening->second.possiblyOpen = opening->second.possiblyOpen || verdict == FlowVerdict::RefusedByBackendServer;
         if (!opening->second.waiting && !opening->second.exhausted && !tried.empty() && tried.back() == agent) {
             this->placement.recordVerdict(agent);
@@ -295,9 +360,11 @@
         return;
     }
     Flow& flow = found->second;
-    if (flow.opening) {
+    flow.candidatesUntil = now;
+    if (flow.opening && !flow.opened) {
         // The agent admitted the flow, but its backend server has not answered: another agent may take it.
         const auto placed = this->openings.insert_or_assign(key, std::move(*flow.opening)).first;
+        recordVerdict(placed->second, agent, verdict, now);
         placed->second.possiblyOpen = placed->second.possiblyOpen || verdict == FlowVerdict::RefusedByBackendServer;
         this->flows.erase(found);
         this->placeOrErase(placed, now, actions);
@@ -338,8 +405,10 @@
         }
         bool keep = false;
         if (opening->second.waiting) {
-            actions.emplace_back(SendReset { opening->first, 0, "no_agent" });
-        } else if (!opening->second.exhausted) {
+            keep = this->refuse(opening->first, opening->second, "no_agent", now, actions);
+        } else if (opening->second.exhausted) {
+            keep = this->placeAgain(opening->first, opening->second, now, actions);
+        } else {
             opening->second.possiblyOpen = true;
             this->placement.recordVerdictTimeout(opening->second.tried.back());
             keep = this->place(opening->first, opening->second, now, actions);
--- a/src/coordination/FlowSteering.h
+++ b/src/coordination/FlowSteering.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/FirstPacketTransmissions.h"
 #include "coordination/FlowVerdict.h"
 #include "coordination/SteeringAction.h"
 #include "protocol/FlowPacket.h"
@@ -51,24 +52,35 @@
     std::size_t openingCount() const { return this->openings.size(); }
 
 private:
+    struct Offer {
+        Endpoint agent;
+        TimePoint sentAt;
+        std::optional<FlowVerdict> verdict; // the last one
+        TimePoint verdictAt;
+    };
+
     // A new flow that no agent has admitted yet.
     struct Opening {
         std::vector<std::uint8_t> datagram;
-        std::vector<Endpoint> tried; // agents that were offered the flow, most recent last
-        TimePoint firstPacket;
+        std::vector<Endpoint> tried; // agents that were offered the flow in this round, most recent last
+        std::vector<Offer> offers; // of all rounds
+        FirstPacketTransmissions transmissions;
         TimePoint deadline; // for the agent's verdict or for an agent to become available
-        std::uint32_t retransmissions { 0 }; // how often the caller has retransmitted the packet
         bool waiting { false }; // for the configuration or an agent; no verdict is outstanding
         // An agent's verdict or its backend server's answer timed out: the flow may nevertheless be open there.
         bool possiblyOpen { false };
-        bool exhausted { false }; // no further agent is tried
+        bool exhausted { false }; // all agents tried have refused; the next round of offers starts at the deadline
+        std::uint32_t refusedRounds { 0 }; // rounds of offers that ended without a reset, because the flow may be open
     };
 
     struct Flow {
         std::vector<Endpoint> owners; // more than one if several agents have admitted the flow
+        std::vector<Endpoint> candidates; // agents at which the owner of an open flow is searched until candidatesUntil
+        TimePoint candidatesUntil; // from then on every agent of the service is searched
         std::uint64_t service { 0 }; // serviceHash(); 0: unknown
         TimePoint lastPacket;
         std::uint32_t lastAcknowledgement { 0 };
+        bool opened { false }; // a packet other than the first has arrived
         bool closing { false };
         std::optional<Opening> opening; // kept until the owner is confirmed
     };
@@ -81,12 +93,19 @@
         const FlowPacket&, std::span<const std::uint8_t> datagram, TimePoint now, std::vector<SteeringAction>& actions);
     // Returns whether to keep the opening.
     bool place(const FlowKey&, Opening&, TimePoint now, std::vector<SteeringAction>& actions);
+    // Starts another round of offers. Returns whether to keep the opening.
+    bool placeAgain(const FlowKey&, Opening&, TimePoint now, std::vector<SteeringAction>& actions);
     void waitForAgent(Opening&, TimePoint now) const;
-    // Resets the flow unless it may be open at an agent. Returns whether to keep the opening.
+    static OpeningHistory history(const Opening&, TimePoint now);
+    static std::vector<Endpoint> agentsOffered(const Opening&);
+    static void recordVerdict(Opening&, const Endpoint& agent, FlowVerdict, TimePoint now);
+    // Resets the flow unless it may be open at an agent, also by an offer of another balancer. Returns whether to keep
+    // the opening.
     bool refuse(const FlowKey&, Opening&, std::string_view reason, TimePoint now, std::vector<SteeringAction>& actions);
     void handleAdmitted(const Endpoint& agent, const FlowKey&, TimePoint now);
     void handleOwned(const Endpoint& agent, const FlowKey&, TimePoint now);
     Flow& flowOf(const FlowKey&, TimePoint now);
+    static void markOpened(Flow&, TimePoint now);
     // Handles a verdict by which the agent does not own the flow or no longer owns it.
     void handleNotOwned(
         const Endpoint& agent, const FlowKey&, FlowVerdict, TimePoint now, std::vector<SteeringAction>& actions);
--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -20,6 +20,12 @@
 // A backend server immediately returns a packet of a flow that it does not hold.
 constexpr std::chrono::milliseconds tentativeLifetime { 2000 };
 
+// The caller abandons a connection attempt 1.4 s after its first packet.
+constexpr std::chrono::milliseconds openingLifetime { 1400 };
+
+// A balancer sends packets of a flow to several agents only until the owner has answered.
+constexpr std::chrono::milliseconds declinedRetention { 2000 };
+
 // Flows that are idle for longer are removed; if such a flow resumes, the balancers search for its owner again.
 constexpr std::chrono::milliseconds idleLimit { 30000 };
 
@@ -60,6 +66,11 @@
 {
 }
 
+bool HostAdmission::mayHaveBeenAnsweredBeforeStart(TimePoint now) const
+{
+    return now - this->startedAt < openingLifetime;
+}
+
 std::uint32_t HostAdmission::heldLate() const
 {
     const auto firstLate = this->held.lower_bound({ FlowUrgency::Late, 0 });
@@ -152,6 +163,10 @@
         actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::Admitted, {}, {} });
         return;
     }
+    if (this->declinedFlows.contains(key)) {
+        actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::RefusedByBackendServer, {}, {} });
+        return;
+    }
     const bool isHeld
         = std::any_of(this->held.begin(), this->held.end(), [&](const auto& item) { return item.second.flow == key; });
     if (isHeld) {
@@ -190,6 +205,19 @@
     std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions)
 {
     const FlowKey key = packet.keyFromCaller();
+    // The caller sends later packets only after it has accepted an answer, so a held flow is open elsewhere.
+    const auto dropped = std::erase_if(this->held, [&](const auto& item) { return item.second.flow == key; });
+    if (dropped > 0 && !this->mayHaveBeenAnsweredBeforeStart(now)) {
+        this->declinedFlows.insert_or_assign(key, now);
+    }
+    const auto declined = this->declinedFlows.find(key);
+    if (declined != this->declinedFlows.end()) {
+        declined->second = now;
+        if (!search) {
+            actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::NotFound, {}, {} });
+        }
+        return;
+    }
     // If the agent started less than flowLifetime ago, its backend server may hold flows from before the start.
     if (now - this->startedAt > this->flowLifetime) {
         if (!search) {
@@ -197,7 +225,7 @@
         }
         return;
     }
-    this->tentativeDeliveries.insert_or_assign(key, TentativeDelivery { balancer, now });
+    this->tentativeDeliveries.insert_or_assign(key, TentativeDelivery { balancer, search, now });
     actions.emplace_back(DeliverToBackendServer { datagram });
 }
 
@@ -218,7 +246,11 @@
     if (notYetUsed && packet.acknowledges
         && (!flow->hostAnswered || packet.acknowledgement != flow->hostSequence + 1)) {
         // The caller has accepted the answer of another backend server to its first packet.
+        const bool answered = flow->hostAnswered;
         this->flows.erase(key);
+        if (answered || !this->mayHaveBeenAnsweredBeforeStart(now)) {
+            this->declinedFlows.insert_or_assign(key, now);
+        }
         if (!search) {
             actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::NotFound, {}, {} });
         }
@@ -280,12 +312,21 @@
     const FlowKey key = packet.keyFromCaller();
     HostFlow* flow = this->flows.find(key);
     if (flow == nullptr) {
-        this->tentativeDeliveries.erase(key); // the flow is held by another agent's backend server or by none
+        // The flow is held by another agent's backend server or by none.
+        if (const auto delivery = this->tentativeDeliveries.extract(key)) {
+            actions.emplace_back(ReportReturnedPacket { key, false });
+            if (!delivery.mapped().search) {
+                actions.emplace_back(SendVerdict { delivery.mapped().balancer, key, FlowVerdict::NotFound, {}, {} });
+            }
+        }
         return;
     }
     if (flow->phase == HostFlowPhase::Closed) {
         return; // a late packet of a flow that has ended
     }
+    if (!packet.isFirst()) {
+        actions.emplace_back(ReportReturnedPacket { key, true });
+    }
     const Endpoint balancer = flow->balancer;
     if (!flow->requestId.empty()) {
         actions.emplace_back(ReportLostRequest { key, std::move(flow->requestId) });
@@ -309,10 +350,12 @@
     HostFlow* flow = this->flows.find(key);
     if (flow == nullptr) {
         const auto delivery = this->tentativeDeliveries.find(key);
-        if (delivery != this->tentativeDeliveries.end()) {
+        // A backend server repeats its answer to a first packet also for a flow that is open elsewhere.
+        if (delivery != this->tentativeDeliveries.end() && !packet.opens) {
             // The flow was opened before this agent started.
             HostFlow& found = this->flows.open(key, delivery->second.balancer, now);
             this->flows.setPhase(found, HostFlowPhase::Idle, now);
+            actions.emplace_back(ReportRecoveredFlow { key });
             actions.emplace_back(SendVerdict { delivery->second.balancer, key, FlowVerdict::Owned, {}, {} });
             this->tentativeDeliveries.erase(delivery);
         }
@@ -401,6 +444,7 @@
     this->flows.expire(idleLimit, now);
     std::erase_if(
         this->tentativeDeliveries, [&](const auto& item) { return now - item.second.since > tentativeLifetime; });
+    std::erase_if(this->declinedFlows, [&](const auto& item) { return now - item.second > declinedRetention; });
 }
 
 }
--- a/src/coordination/HostAdmission.h
+++ b/src/coordination/HostAdmission.h
@@ -91,6 +91,7 @@
     // A packet of an unknown flow that was delivered because the backend server may hold the flow.
     struct TentativeDelivery {
         Endpoint balancer;
+        bool search { false }; // otherwise the balancer takes this agent for the owner
         TimePoint since;
     };
 
@@ -104,6 +105,8 @@
         std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions);
     void recordAnswerStart(HostFlow&, TimePoint now);
     void reportAnswer(HostFlow&, const FlowKey&, const FlowPacket&, TimePoint now, std::vector<AgentAction>& actions);
+    // Whether a caller that is opening a flow may have been answered before this agent started.
+    bool mayHaveBeenAnsweredBeforeStart(TimePoint now) const;
     std::uint32_t heldLate() const;
     double decayedDemand(TimePoint now) const;
     void updateMeanWork(std::chrono::microseconds work);
@@ -124,6 +127,8 @@
     TimePoint demandUpdatedAt;
     std::vector<HeldFlow> delivered; // keeps the datagrams alive that the last actions refer to
     std::unordered_map<FlowKey, TentativeDelivery, FlowKeyHash> tentativeDeliveries;
+    // Flows that the caller has opened at another backend server, with the time of the last packet.
+    std::unordered_map<FlowKey, TimePoint, FlowKeyHash> declinedFlows;
     TimePoint hostSilentUntil;
     TimePoint nextSweep;
 };
