--- a/test/unit/FleetSimulation.cpp
+++ b/test/unit/FleetSimulation.cpp
@@ -25,6 +25,17 @@
 constexpr milliseconds secondRetransmission { 600 };
 constexpr milliseconds tryTimeout { 1400 };
 constexpr milliseconds tickInterval { 5 };
+
+// Both ends repeat a packet that is not answered after 200 ms, and then at doubling intervals of at most 1.6 s.
+constexpr milliseconds firstRepetition { 200 };
+constexpr milliseconds longestRepetition { 1600 };
+constexpr int maximumRepetitions = 8;
+
+milliseconds repetitionDelay(int transmission)
+{
+    return std::min(firstRepetition * (1 << transmission), longestRepetition);
+}
+
 constexpr milliseconds helloInterval { 250 };
 
 constexpr std::uint32_t payloadValue = 1; // requests and answers have a payload of this one byte
@@ -51,12 +62,23 @@
     bool open { false };
     bool done { false };
     std::uint32_t hostSequence { 0 };
+    bool accepted { false }; // the host has received the caller's packet that opens the flow
+    int misdelivered { 0 }; // packets that reached other hosts since the last one that reached the owner
+    TimePoint firstMisdelivery;
+    bool misrouted { false };
+};
+
+struct FleetSimulation::HostFlow {
+    std::uint32_t sequence { 0 }; // initial sequence number of the host
+    bool accepted { false };
+    bool requested { false };
+    bool answered { false };
 };
 
 struct FleetSimulation::Host {
     std::unique_ptr<HostAdmission> admission;
     std::vector<AgentAction> actions;
-    std::map<FlowKey, std::uint32_t> flows; // initial sequence number of the host for each flow
+    std::map<FlowKey, HostFlow> flows;
     std::deque<FlowKey> queue;
     std::uint32_t running { 0 };
     bool silent { false };
@@ -111,7 +133,7 @@
 {
     Host host;
     host.admission = std::make_unique<HostAdmission>(this->random(), serviceHash(serviceName), noPayloadMetadata,
-        noPayloadMetadata, this->now - std::chrono::hours(1), std::chrono::minutes(1));
+        noPayloadMetadata, this->now - this->options.agentAge, std::chrono::minutes(1));
     host.silent = this->hosts[index].silent;
     host.crashed = this->hosts[index].crashed;
     this->hosts[index] = std::move(host);
@@ -245,10 +267,10 @@
 
 void FleetSimulation::sendToBalancer(const FlowPacket& packet)
 {
-    if (this->isDown()) {
+    if (this->isDown() || this->isLost()) {
         return;
     }
-    std::size_t index = (std::size_t { packet.source.port } * 7919U) % this->balancers.size();
+    std::size_t index = (std::size_t { packet.source.port } * 7919U + this->rotation) % this->balancers.size();
     while (this->balancers[index].lost) {
         index = (index + 1) % this->balancers.size();
     }
@@ -286,6 +308,9 @@
         const auto& steer = std::get<SteerPacket>(action);
         const FlowPacket packet = this->stored(steer.datagram);
         const std::size_t host = steer.agent.address - firstHostAddress;
+        if (this->isLost()) {
+            continue;
+        }
         this->schedule(this->now + this->options.toPeer, [this, host, steer, packet, own, sentIn] {
             if (sentIn != this->epoch || this->hosts[host].silent) {
                 return;
@@ -315,6 +340,9 @@
             this->deliverToHost(index, this->stored(delivery->datagram));
         } else if (const auto* answer = std::get_if<DeliverToCaller>(&action)) {
             const FlowPacket packet = this->stored(answer->datagram);
+            if (this->isLost()) {
+                continue;
+            }
             this->schedule(this->now + this->options.toCaller, [this, packet] { this->receiveAtCaller(packet); });
         } else if (const auto* verdict = std::get_if<SendVerdict>(&action)) {
             host.verdicts[verdict->balancer].emplace_back(verdict->flow, verdict->verdict);
@@ -333,6 +361,9 @@
         const Endpoint address { firstBalancerAddress + static_cast<std::uint32_t>(balancer), peerPort };
         auto verdicts = std::move(host.verdicts[address]);
         host.verdicts[address].clear();
+        if (this->isLost()) {
+            continue;
+        }
         this->schedule(this->now + this->options.toPeer, [this, balancer, own, load, verdicts, sentIn] {
             Balancer& target = this->balancers[balancer];
             if (sentIn != this->epoch || target.lost || target.frozen) {
@@ -347,28 +378,104 @@
     }
 }
 
+bool FleetSimulation::isLost()
+{
+    return this->options.lossShare > 0 && std::bernoulli_distribution(this->options.lossShare)(this->random);
+}
+
+void FleetSimulation::acceptFirstPacket(std::size_t index, const FlowKey& key)
+{
+    const auto [flow, added] = this->hosts[index].flows.try_emplace(key);
+    if (!added) {
+        if (!flow->second.accepted) {
+            this->answerFirstPacket(index, key, maximumRepetitions);
+        }
+        return;
+    }
+    flow->second.sequence = static_cast<std::uint32_t>(this->random());
+    const bool slow
+        = this->options.slowAnswerShare > 0 && std::bernoulli_distribution(this->options.slowAnswerShare)(this->random);
+    const std::uint64_t deliveredIn = this->epoch;
+    this->schedule(this->now + (slow ? this->options.slowAnswer : Duration(0)), [this, index, key, deliveredIn] {
+        if (deliveredIn == this->epoch) {
+            this->answerFirstPacket(index, key, 0);
+        }
+    });
+}
+
+// Sends the answer to a first packet and repeats it until the caller has accepted it.
+void FleetSimulation::answerFirstPacket(std::size_t index, const FlowKey& key, int transmission)
+{
+    Host& host = this->hosts[index];
+    const auto flow = host.flows.find(key);
+    if (flow == host.flows.end() || flow->second.accepted) {
+        return;
+    }
+    FlowPacket answer;
+    answer.source = key.service;
+    answer.destination = key.caller;
+    answer.opens = true;
+    answer.acknowledges = true;
+    answer.sequence = flow->second.sequence;
+    this->sendFromHost(index, answer);
+    if (transmission >= maximumRepetitions) {
+        return;
+    }
+    const std::uint64_t sentIn = this->epoch;
+    this->schedule(this->now + repetitionDelay(transmission), [this, index, key, transmission, sentIn] {
+        if (sentIn == this->epoch) {
+            this->answerFirstPacket(index, key, transmission + 1);
+        }
+    });
+}
+
+// Tracks whether the packets of an open flow reach the host at which it is open.
+void FleetSimulation::recordDelivery(std::size_t index, const FlowKey& key)
+{
+    const auto found = this->callers.find(key);
+    if (found == this->callers.end() || !found->second.open || found->second.done) {
+        return;
+    }
+    Caller& caller = found->second;
+    const auto flow = this->hosts[index].flows.find(key);
+    if (flow != this->hosts[index].flows.end() && flow->second.sequence == caller.hostSequence) {
+        caller.accepted = true;
+        caller.misdelivered = 0;
+        return;
+    }
+    if (!caller.accepted || caller.misrouted) {
+        return;
+    }
+    if (caller.misdelivered++ == 0) {
+        caller.firstMisdelivery = this->now;
+    }
+    if (caller.misdelivered >= misroutedPackets && this->now - caller.firstMisdelivery >= misroutingTime) {
+        caller.misrouted = true;
+        ++this->misrouted;
+    }
+}
+
 void FleetSimulation::deliverToHost(std::size_t index, const FlowPacket& packet)
 {
     Host& host = this->hosts[index];
     const FlowKey key = packet.keyFromCaller();
     if (packet.isFirst()) {
-        const auto [flow, added] = host.flows.try_emplace(key, static_cast<std::uint32_t>(this->random()));
-        FlowPacket answer;
-        answer.source = key.service;
-        answer.destination = key.caller;
-        answer.opens = true;
-        answer.acknowledges = true;
-        answer.sequence = flow->second;
-        this->sendFromHost(index, answer);
+        this->acceptFirstPacket(index, key);
         return;
     }
-    if (!host.flows.contains(key)) {
+    this->recordDelivery(index, key);
+    const auto flow = host.flows.find(key);
+    if (flow == host.flows.end() || (!flow->second.accepted && packet.acknowledgement != flow->second.sequence + 1)) {
         FlowPacket back = packet;
         back.returned = true;
         this->sendFromHost(index, back);
         return;
     }
-    if (!packet.payload.empty()) {
+    flow->second.accepted = true;
+    if (flow->second.answered) {
+        this->sendAnswer(index, key);
+    } else if (!packet.payload.empty() && !flow->second.requested) {
+        flow->second.requested = true;
         host.queue.push_back(key);
         this->startQueuedRuns(index);
     }
@@ -377,6 +484,16 @@
     }
 }
 
+void FleetSimulation::sendAnswer(std::size_t index, const FlowKey& key)
+{
+    FlowPacket answer;
+    answer.source = key.service;
+    answer.destination = key.caller;
+    answer.payload = payloadByte;
+    answer.finishes = true;
+    this->sendFromHost(index, answer);
+}
+
 void FleetSimulation::startQueuedRuns(std::size_t index)
 {
     Host& host = this->hosts[index];
@@ -392,13 +509,12 @@
             if (begunIn != this->epoch) {
                 return;
             }
-            --this->hosts[index].running;
-            FlowPacket answer;
-            answer.source = key.service;
-            answer.destination = key.caller;
-            answer.payload = payloadByte;
-            answer.finishes = true;
-            this->sendFromHost(index, answer);
+            Host& answering = this->hosts[index];
+            --answering.running;
+            if (const auto flow = answering.flows.find(key); flow != answering.flows.end()) {
+                flow->second.answered = true;
+            }
+            this->sendAnswer(index, key);
             this->startQueuedRuns(index);
         });
     }
@@ -421,6 +537,19 @@
     });
 }
 
+// Sends the packet that opens the flow and carries the request, and repeats it until the answer has arrived.
+void FleetSimulation::sendRequest(const FlowPacket& packet, int transmission)
+{
+    const Caller& caller = this->callers[packet.keyFromCaller()];
+    const Outcome& outcome = this->results[caller.request];
+    if (caller.done || this->now - outcome.start >= this->options.budget) {
+        return;
+    }
+    this->schedule(this->now + this->options.toCaller, [this, packet] { this->sendToBalancer(packet); });
+    this->schedule(this->now + repetitionDelay(transmission),
+        [this, packet, transmission] { this->sendRequest(packet, transmission + 1); });
+}
+
 void FleetSimulation::receiveAtCaller(const FlowPacket& packet)
 {
     const auto found = this->callers.find(packet.keyFromBackendServer());
@@ -451,12 +580,13 @@
         caller.hostSequence = packet.sequence;
         next.acknowledgement = packet.sequence + 1;
         next.payload = payloadByte;
-        this->schedule(this->now + this->options.toCaller, [this, next] { this->sendToBalancer(next); });
+        this->sendRequest(next, 0);
     } else if (!packet.payload.empty()) {
         this->endTry(caller);
         outcome.end = this->now;
         outcome.served = inBudget;
         outcome.refused = false;
+        next.acknowledgement = caller.hostSequence + 1;
         next.finishes = true;
         this->schedule(this->now + this->options.toCaller, [this, next] { this->sendToBalancer(next); });
     }
--- a/test/unit/FleetSimulation.h
+++ b/test/unit/FleetSimulation.h
@@ -40,6 +40,10 @@
         int tries { 3 };
         double coldSlowdown { 1 }; // factor on the work of backend servers that have lost all state
         Duration coldFor { 0 }; // duration of the slowdown after they return
+        Duration agentAge { std::chrono::hours(1) }; // time since the agents started, at the start of the simulation
+        double lossShare { 0 }; // of the datagrams on each part of a path
+        double slowAnswerShare { 0 }; // of the first packets that a backend server answers after slowAnswer
+        Duration slowAnswer { 0 };
     };
 
     // The deployment arriaga-bordado: 3 slots, longer work, longer network delays, and backend servers that start cold.
@@ -68,6 +72,9 @@
     void loseBalancer(std::size_t);
     void restoreBalancer(std::size_t);
 
+    // Moves all flows to other balancers.
+    void rotateRouters() { ++this->rotation; }
+
     // Queues packets for the balancer until it resumes; then it processes them all at once.
     void freezeBalancer(std::size_t);
     void resumeBalancer(std::size_t);
@@ -107,9 +114,18 @@
     // Number of resets that callers received on an open flow.
     std::uint64_t openFlowResets() const { return this->openResets; }
 
+    // Number of open flows of which, for misroutingTime, at least misroutedPackets packets reached other backend
+    // servers and none their own.
+    std::uint64_t misroutedFlows() const { return this->misrouted; }
+
+    // The bound of the users' rule for the packets of an open flow.
+    static constexpr std::chrono::milliseconds misroutingTime { 2000 };
+    static constexpr int misroutedPackets = 3;
+
 private:
     struct Caller;
     struct Host;
+    struct HostFlow;
     struct Balancer;
     struct Event;
 
@@ -122,6 +138,12 @@
     void applyBalancerActions(std::size_t balancer);
     void applyAgentActions(std::size_t host);
     void deliverToHost(std::size_t host, const FlowPacket&);
+    void acceptFirstPacket(std::size_t host, const FlowKey&);
+    void answerFirstPacket(std::size_t host, const FlowKey&, int transmission);
+    void sendRequest(const FlowPacket&, int transmission);
+    void recordDelivery(std::size_t host, const FlowKey&);
+    bool isLost();
+    void sendAnswer(std::size_t host, const FlowKey&);
     void startQueuedRuns(std::size_t host);
     void sendFromHost(std::size_t host, const FlowPacket&);
     void receiveAtCaller(const FlowPacket&);
@@ -151,6 +173,8 @@
     std::deque<std::array<std::uint8_t, 8>> datagrams;
     std::uint32_t nextPort { 0 };
     std::uint64_t openResets { 0 };
+    std::uint64_t misrouted { 0 };
+    std::size_t rotation { 0 };
     // Incremented by failAll(); peer messages and runs of earlier epochs are discarded.
     std::uint64_t epoch { 0 };
 };
