Let agents deliver unknown flows on trial only after a search has failed

What callers saw: packets of an open flow reached the backend servers of all other agents; when the copies for its own were lost, only those.

Cause: an agent that started less than 60 s ago delivered each packet of a search on trial, although nearly always the owner knows the flow and answers. A lost copy and the caller's intervals of 0.8 s and 1.6 s between repeats are enough for three packets at others and none at the owner within 2 s.

Change: a search is delivered by the owner only. If no agent has answered within 30 ms, the next packet is sent to recover the flow, and only then do agents that started recently deliver it on trial.

The tests of the recovery by a restarted agent use the new purpose; a new one checks that a search alone is not delivered.

--- a/src/app/AgentNode.cpp
+++ b/src/app/AgentNode.cpp
@@ -143,8 +143,8 @@
         this->admission.handleNewFlow({ balancer, steered.waitLimit, steered.priority, steered.urgency, steered.slots },
             steered.service, *packet, steered.datagram, now, this->actions);
     } else {
-        this->admission.handleCallerPacket(balancer, steered.service, steered.purpose == SteeringPurpose::Search,
-            *packet, steered.datagram, now, this->actions);
+        this->admission.handleCallerPacket(
+            balancer, steered.service, steered.purpose, *packet, steered.datagram, now, this->actions);
     }
     this->perform(now);
 }
--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -181,6 +181,7 @@
             { { "flow", formatFlow(decoded->keyFromCaller()) }, { "agent", formatEndpoint(packet.agent) },
                 { "wait_limit_ms", packet.waitLimit.count() }, { "expected_wait_us", packet.expectedWait.count() },
                 { "load_age_ms", packet.loadAge.count() }, { "copy", opens ? decoded->acknowledgement : 0 },
+                { "recover", packet.purpose == SteeringPurpose::Recover ? 1 : 0 },
                 { "configuration", static_cast<std::int64_t>(this->directory.routes().version) } });
     }
 }
--- a/src/app/SteeringMessages.cpp
+++ b/src/app/SteeringMessages.cpp
@@ -32,6 +32,8 @@
         return wire::SteeredPacket::NEW_FLOW;
     case SteeringPurpose::Search:
         return wire::SteeredPacket::SEARCH;
+    case SteeringPurpose::Recover:
+        return wire::SteeredPacket::RECOVER;
     case SteeringPurpose::KnownFlow:
         break;
     }
@@ -45,6 +47,8 @@
         return SteeringPurpose::NewFlow;
     case wire::SteeredPacket::SEARCH:
         return SteeringPurpose::Search;
+    case wire::SteeredPacket::RECOVER:
+        return SteeringPurpose::Recover;
     default:
         return SteeringPurpose::KnownFlow;
     }
--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -269,12 +269,27 @@
     if (!flow.opened) {
         markOpened(flow, now);
     }
-    const auto purpose = flow.owners.empty() ? SteeringPurpose::Search : SteeringPurpose::KnownFlow;
-    std::vector<Endpoint> agents = flow.owners;
-    if (agents.empty() && route != nullptr) {
-        agents = now < flow.candidatesUntil ? flow.candidates : this->placement.agentsOf(route->service);
+    if (!flow.owners.empty()) {
+        actions.emplace_back(SteerPacket { flow.owners.front(), SteeringPurpose::KnownFlow, flow.service, {}, 0,
+            FlowUrgency::InTime, 0, {}, {}, datagram });
+    } else if (route != nullptr) {
+        this->search(flow, route->service, datagram, now, actions);
     }
-    for (const Endpoint& agent : agents) {
+}
+
+void FlowSteering::search(Flow& flow, const std::string& service, std::span<const std::uint8_t> datagram, TimePoint now,
+    std::vector<SteeringAction>& actions) const
+{
+    const bool onlyCandidates = now < flow.candidatesUntil;
+    auto purpose = SteeringPurpose::Search;
+    if (!onlyCandidates) {
+        if (!flow.searchedSince) {
+            flow.searchedSince = now;
+        } else if (now - *flow.searchedSince >= verdictTimeout) {
+            purpose = SteeringPurpose::Recover;
+        }
+    }
+    for (const Endpoint& agent : onlyCandidates ? flow.candidates : this->placement.agentsOf(service)) {
         actions.emplace_back(
             SteerPacket { agent, purpose, flow.service, {}, 0, FlowUrgency::InTime, 0, {}, {}, datagram });
     }
@@ -361,6 +376,7 @@
     }
     Flow& flow = found->second;
     flow.candidatesUntil = now;
+    flow.searchedSince.reset();
     if (flow.opening && !flow.opened) {
         // The agent admitted the flow, but its backend server has not answered: another agent may take it.
         const auto placed = this->openings.insert_or_assign(key, std::move(*flow.opening)).first;
--- a/src/coordination/FlowSteering.h
+++ b/src/coordination/FlowSteering.h
@@ -77,6 +77,7 @@
         std::vector<Endpoint> owners; // more than one if several agents have admitted the flow
         std::vector<Endpoint> candidates; // agents at which the owner of an open flow is searched until candidatesUntil
         TimePoint candidatesUntil; // from then on every agent of the service is searched
+        std::optional<TimePoint> searchedSince; // since when every agent of the service has been searched
         std::uint64_t service { 0 }; // serviceHash(); 0: unknown
         TimePoint lastPacket;
         std::uint32_t lastAcknowledgement { 0 };
@@ -106,6 +107,9 @@
     void handleOwned(const Endpoint& agent, const FlowKey&, TimePoint now);
     Flow& flowOf(const FlowKey&, TimePoint now);
     static void markOpened(Flow&, TimePoint now);
+    // Sends a packet of a flow without a known owner to the agents that may own it.
+    void search(Flow&, const std::string& service, std::span<const std::uint8_t> datagram, TimePoint now,
+        std::vector<SteeringAction>& actions) const;
     // Handles a verdict by which the agent does not own the flow or no longer owns it.
     void handleNotOwned(
         const Endpoint& agent, const FlowKey&, FlowVerdict, TimePoint now, std::vector<SteeringAction>& actions);
--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -201,7 +201,7 @@
     actions.emplace_back(DeliverToBackendServer { datagram });
 }
 
-void HostAdmission::handleUnknownFlow(const Endpoint& balancer, bool search, const FlowPacket& packet,
+void HostAdmission::handleUnknownFlow(const Endpoint& balancer, SteeringPurpose purpose, const FlowPacket& packet,
     std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions)
 {
     const FlowKey key = packet.keyFromCaller();
@@ -213,23 +213,26 @@
     const auto declined = this->declinedFlows.find(key);
     if (declined != this->declinedFlows.end()) {
         declined->second = now;
-        if (!search) {
+        if (purpose == SteeringPurpose::KnownFlow) {
             actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::NotFound, {}, {} });
         }
         return;
     }
     // If the agent started less than flowLifetime ago, its backend server may hold flows from before the start.
     if (now - this->startedAt > this->flowLifetime) {
-        if (!search) {
+        if (purpose == SteeringPurpose::KnownFlow) {
             actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::NotFound, {}, {} });
         }
         return;
     }
-    this->tentativeDeliveries.insert_or_assign(key, TentativeDelivery { balancer, search, now });
+    if (purpose == SteeringPurpose::Search) {
+        return; // the owner answers; if it does not, the balancer sends the next packet to recover the flow
+    }
+    this->tentativeDeliveries.insert_or_assign(key, TentativeDelivery { balancer, purpose, now });
     actions.emplace_back(DeliverToBackendServer { datagram });
 }
 
-void HostAdmission::handleCallerPacket(const Endpoint& balancer, std::uint64_t flowService, bool search,
+void HostAdmission::handleCallerPacket(const Endpoint& balancer, std::uint64_t flowService, SteeringPurpose purpose,
     const FlowPacket& packet, std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions)
 {
     const FlowKey key = packet.keyFromCaller();
@@ -239,7 +242,7 @@
     }
     HostFlow* flow = this->flows.find(key);
     if (flow == nullptr) {
-        this->handleUnknownFlow(balancer, search, packet, datagram, now, actions);
+        this->handleUnknownFlow(balancer, purpose, packet, datagram, now, actions);
         return;
     }
     const bool notYetUsed = flow->phase == HostFlowPhase::Opening || flow->phase == HostFlowPhase::Stalled;
@@ -251,13 +254,13 @@
         if (answered || !this->mayHaveBeenAnsweredBeforeStart(now)) {
             this->declinedFlows.insert_or_assign(key, now);
         }
-        if (!search) {
+        if (purpose == SteeringPurpose::KnownFlow) {
             actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::NotFound, {}, {} });
         }
         this->deliverHeld(now, actions);
         return;
     }
-    if (search || flow->balancer != balancer) {
+    if (purpose != SteeringPurpose::KnownFlow || flow->balancer != balancer) {
         flow->balancer = balancer;
         actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::Owned, {}, {} });
     }
@@ -315,7 +318,7 @@
         // The flow is held by another agent's backend server or by none.
         if (const auto delivery = this->tentativeDeliveries.extract(key)) {
             actions.emplace_back(ReportReturnedPacket { key, false });
-            if (!delivery.mapped().search) {
+            if (delivery.mapped().purpose == SteeringPurpose::KnownFlow) {
                 actions.emplace_back(SendVerdict { delivery.mapped().balancer, key, FlowVerdict::NotFound, {}, {} });
             }
         }
--- a/src/coordination/HostAdmission.h
+++ b/src/coordination/HostAdmission.h
@@ -2,6 +2,7 @@
 
 #include "coordination/AgentAction.h"
 #include "coordination/AgentLoad.h"
+#include "coordination/SteeringPurpose.h"
 #include "protocol/FlowPacket.h"
 #include "protocol/PayloadMetadata.h"
 #include "state/HostFlows.h"
@@ -44,8 +45,8 @@
     void handleNewFlow(const FlowOffer&, std::uint64_t service, const FlowPacket&,
         std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions);
 
-    // Handles a packet other than the first of a flow. search: the balancer does not know the owner of the flow.
-    void handleCallerPacket(const Endpoint& balancer, std::uint64_t service, bool search, const FlowPacket&,
+    // Handles a packet other than the first of a flow.
+    void handleCallerPacket(const Endpoint& balancer, std::uint64_t service, SteeringPurpose, const FlowPacket&,
         std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions);
 
     // Handles a packet that the backend server sent, or returned because it does not hold the flow.
@@ -91,7 +92,7 @@
     // A packet of an unknown flow that was delivered because the backend server may hold the flow.
     struct TentativeDelivery {
         Endpoint balancer;
-        bool search { false }; // otherwise the balancer takes this agent for the owner
+        SteeringPurpose purpose { SteeringPurpose::KnownFlow };
         TimePoint since;
     };
 
@@ -101,7 +102,7 @@
     void refuseUnanswered(TimePoint now, std::vector<AgentAction>& actions);
     void deliverHeld(TimePoint now, std::vector<AgentAction>& actions);
     void handleReturnedPacket(const FlowPacket&, TimePoint now, std::vector<AgentAction>& actions);
-    void handleUnknownFlow(const Endpoint& balancer, bool search, const FlowPacket&,
+    void handleUnknownFlow(const Endpoint& balancer, SteeringPurpose, const FlowPacket&,
         std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions);
     void recordAnswerStart(HostFlow&, TimePoint now);
     void reportAnswer(HostFlow&, const FlowKey&, const FlowPacket&, TimePoint now, std::vector<AgentAction>& actions);
--- a/src/coordination/SteeringAction.h
+++ b/src/coordination/SteeringAction.h
@@ -2,6 +2,7 @@
 
 #include "coordination/AgentLoad.h"
 #include "coordination/OpeningHistory.h"
+#include "coordination/SteeringPurpose.h"
 #include "protocol/Endpoint.h"
 #include "state/FlowKey.h"
 
@@ -13,13 +14,6 @@
 
 namespace chicoryferry {
 
-// Why a packet is sent to an agent.
-enum class SteeringPurpose {
-    KnownFlow, // the agent owns the flow according to the balancer's cache
-    NewFlow, // the agent may admit the flow
-    Search, // the owner is not known; the packet is sent to all agents that may own the flow
-};
-
 // Send the packet to the agent. The datagram stays valid until the next call of the class that returned the action.
 struct SteerPacket {
     Endpoint agent;
--- a/test/unit/FleetSimulation.cpp
+++ b/test/unit/FleetSimulation.cpp
@@ -321,8 +321,8 @@
                 target.admission->handleNewFlow({ own, steer.waitLimit, steer.priority, steer.urgency, steer.slots },
                     steer.service, packet, datagram, this->now, target.actions);
             } else {
-                target.admission->handleCallerPacket(own, steer.service, steer.purpose == SteeringPurpose::Search,
-                    packet, datagram, this->now, target.actions);
+                target.admission->handleCallerPacket(
+                    own, steer.service, steer.purpose, packet, datagram, this->now, target.actions);
             }
             this->applyAgentActions(host);
         });
--- a/test/unit/FlowSteeringSearchTest.cpp
+++ b/test/unit/FlowSteeringSearchTest.cpp
@@ -59,3 +59,24 @@
     balancer.sendLater(milliseconds(50));
     CHECK(balancer.asked().size() == 4);
 }
+
+// Guards against flows that are not found again after both their balancer and their agent have restarted.
+TEST_CASE("a search that no agent answers is followed by a recovery at every agent")
+{
+    SteeringFixture balancer { 3 };
+    const auto purpose = [&] { return std::get<SteerPacket>(balancer.actions.back()).purpose; };
+    balancer.sendLater();
+    CHECK(balancer.asked().size() == 3);
+    CHECK(purpose() == SteeringPurpose::Search);
+    balancer.sendLater(milliseconds(29));
+    CHECK(purpose() == SteeringPurpose::Search);
+    balancer.sendLater(milliseconds(200));
+    CHECK(balancer.asked().size() == 3);
+    CHECK(purpose() == SteeringPurpose::Recover);
+    balancer.receiveVerdict({ 2, 7000 }, FlowVerdict::Owned, milliseconds(202));
+    balancer.sendLater(milliseconds(203));
+    CHECK(balancer.asked() == std::vector { Endpoint { 2, 7000 } });
+    balancer.receiveVerdict({ 2, 7000 }, FlowVerdict::NotFound, milliseconds(300));
+    balancer.sendLater(milliseconds(301));
+    CHECK(purpose() == SteeringPurpose::Search);
+}
--- a/test/unit/HostAdmissionTest.cpp
+++ b/test/unit/HostAdmissionTest.cpp
@@ -58,14 +58,15 @@
         this->fromCaller([](FlowPacket& packet) { packet.payload = bytes; });
     }
 
-    template <typename Change> void fromCaller(Change change, bool search = false, const Endpoint& via = balancer)
+    template <typename Change>
+    void fromCaller(Change change, SteeringPurpose purpose = SteeringPurpose::KnownFlow, const Endpoint& via = balancer)
     {
         this->actions.clear();
         FlowPacket packet = packetBetween(caller, route);
         packet.acknowledges = true;
         packet.acknowledgement = hostSequence + 1;
         change(packet);
-        this->admission.handleCallerPacket(via, serviceHash("job"), search, packet, bytes, start, this->actions);
+        this->admission.handleCallerPacket(via, serviceHash("job"), purpose, packet, bytes, start, this->actions);
     }
 
     template <typename Change> void fromHost(Change change)
@@ -168,11 +169,11 @@
 {
     Agent agent;
     agent.openFlow();
-    agent.fromCaller([](FlowPacket&) {}, true, otherBalancer);
+    agent.fromCaller([](FlowPacket&) {}, SteeringPurpose::Search, otherBalancer);
     CHECK(agent.verdicts() == std::vector { FlowVerdict::Owned });
     CHECK(agent.delivered());
     Agent nonOwner;
-    nonOwner.fromCaller([](FlowPacket&) {}, true, otherBalancer);
+    nonOwner.fromCaller([](FlowPacket&) {}, SteeringPurpose::Search, otherBalancer);
     CHECK(nonOwner.verdicts().empty());
     CHECK_FALSE(nonOwner.delivered());
 }
@@ -181,7 +182,7 @@
 TEST_CASE("a restarted agent recovers the flows that its backend server holds")
 {
     Agent agent(seconds(1));
-    agent.fromCaller([](FlowPacket&) {}, true);
+    agent.fromCaller([](FlowPacket&) {}, SteeringPurpose::Recover);
     CHECK(agent.delivered());
     CHECK(agent.verdicts().empty());
     agent.fromHost([](FlowPacket& packet) { packet.payload = bytes; });
@@ -220,7 +221,7 @@
 TEST_CASE("the repeated answer to a first packet does not make a restarted agent the owner of the flow")
 {
     Agent agent(seconds(1));
-    agent.fromCaller([](FlowPacket&) {}, true);
+    agent.fromCaller([](FlowPacket&) {}, SteeringPurpose::Recover);
     CHECK(agent.delivered());
     agent.fromHost([](FlowPacket& packet) { packet.opens = true; });
     CHECK(agent.verdicts().empty());
@@ -236,9 +237,9 @@
         packet.sequence = hostSequence;
     });
     const auto acceptsAnother = [](FlowPacket& packet) { packet.acknowledgement = 77; };
-    agent.fromCaller(acceptsAnother, true);
+    agent.fromCaller(acceptsAnother, SteeringPurpose::Recover);
     CHECK_FALSE(agent.delivered());
-    agent.fromCaller(acceptsAnother, true);
+    agent.fromCaller(acceptsAnother, SteeringPurpose::Recover);
     CHECK_FALSE(agent.delivered());
     agent.fromCaller(acceptsAnother);
     CHECK_FALSE(agent.delivered());
@@ -265,7 +266,7 @@
     agent.offer();
     CHECK_FALSE(agent.delivered());
     REQUIRE(agent.admission.currentLoad(start).held == 1);
-    agent.fromCaller([](FlowPacket&) {}, true);
+    agent.fromCaller([](FlowPacket&) {}, SteeringPurpose::Recover);
     CHECK_FALSE(agent.delivered());
     CHECK(agent.admission.currentLoad(start).held == 0);
 }
@@ -283,7 +284,16 @@
     }
     SUBCASE("delivered") { }
     agent.offer();
-    agent.fromCaller([](FlowPacket&) {}, true);
-    agent.fromCaller([](FlowPacket&) {}, true);
+    agent.fromCaller([](FlowPacket&) {}, SteeringPurpose::Recover);
+    agent.fromCaller([](FlowPacket&) {}, SteeringPurpose::Recover);
     CHECK(agent.delivered());
 }
+
+// Guards against FLOW: a search reaches the backend servers of all agents that have started recently.
+TEST_CASE("a search for the owner of a flow is not delivered by an agent that does not know the flow")
+{
+    Agent agent(seconds(1));
+    agent.fromCaller([](FlowPacket&) {}, SteeringPurpose::Search);
+    CHECK_FALSE(agent.delivered());
+    CHECK(agent.verdicts().empty());
+}
