Do not deliver a late copy of the first packet of an open flow

What callers saw: an agent forgot an open flow, and its packets were searched at other backend servers.

Cause: a copy of the first packet that arrives after later packets, for example through another balancer, was delivered. The backend server holds the flow and returns the copy; the agent took that for a refusal and removed the flow.

Change: the agent answers owned and does not deliver the copy.

Evidence: the new case failed before this change (delivered) and passes now.

--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -153,6 +153,11 @@
         this->slots = offer.slots;
     }
     if (HostFlow* flow = this->flows.find(key)) {
+        if (flow->phase == HostFlowPhase::Idle || flow->phase == HostFlowPhase::Working) {
+            // A late copy. The backend server would return it, as if it did not hold the flow.
+            actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::Owned, {}, {} });
+            return;
+        }
         // The caller retransmits its first packet: deliver it so that the backend server answers again.
         if (flow->phase == HostFlowPhase::Stalled) {
             this->flows.setPhase(*flow, HostFlowPhase::Opening, now);
--- a/test/unit/HostAdmissionTest.cpp
+++ b/test/unit/HostAdmissionTest.cpp
@@ -297,3 +297,15 @@
     CHECK_FALSE(agent.delivered());
     CHECK(agent.verdicts().empty());
 }
+
+// Guards against FLOW: the backend server returns a late copy of the first packet, and the agent forgets the open flow.
+TEST_CASE("a late copy of the first packet of an open flow is not delivered and the agent keeps the flow")
+{
+    Agent agent;
+    agent.openFlow();
+    agent.offer();
+    CHECK_FALSE(agent.delivered());
+    CHECK(agent.verdicts() == std::vector { FlowVerdict::Owned });
+    agent.fromCaller([](FlowPacket&) {});
+    CHECK(agent.delivered());
+}
