Do not overload a link by searches and repeated offers

Cause: a balancer whose link is slow gets verdicts after their timeout. Each flow was then offered again to four more agents, and its later packets were searched at every agent at once, up to 44 copies of each, because a first packet had been lost or no answer came within 30 ms. The copies delayed the next verdicts.

Change: a flow whose last offer was not answered is not offered again. A search starts at the agents that were offered the flow; it goes to every agent only if another balancer may have placed the flow, and only after 150 ms without an answer.

The tests of searches now name the agents; the one that expected every agent after 30 ms with complete knowledge expects only those that were offered the flow, because no other can have it.

--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -49,6 +49,10 @@
 // slot becomes free about twice meanwhile, because requests take about 20 ms on average.
 constexpr std::chrono::milliseconds firstRoundDelay { 40 };
 
+// A search without an answer for this time is widened. The time is below the 200 ms after which the caller repeats a
+// packet, so that the repetition is sent to more agents.
+constexpr std::chrono::milliseconds searchTimeout { 150 };
+
 // Covers retransmissions after both endpoints have finished.
 constexpr std::chrono::milliseconds closedFlowLifetime { 2000 };
 
@@ -99,6 +103,11 @@
     return agents;
 }
 
+bool FlowSteering::isUnanswered(const Opening& opening)
+{
+    return !opening.offers.empty() && !opening.offers.back().verdict;
+}
+
 void FlowSteering::recordVerdict(Opening& opening, const Endpoint& agent, FlowVerdict verdict, TimePoint now)
 {
     const auto offer = std::find_if(opening.offers.rbegin(), opening.offers.rend(),
@@ -124,7 +133,8 @@
     }
     opening.exhausted = true;
     opening.waiting = false;
-    opening.deadline = now + firstRoundDelay * (1U << opening.refusedRounds);
+    opening.deadline
+        = now + (isUnanswered(opening) ? openingLifetime : firstRoundDelay * (1U << opening.refusedRounds));
     ++opening.refusedRounds;
     return true;
 }
@@ -215,7 +225,7 @@
     }
     Opening& entry = this->openings[key];
     entry.transmissions.record(packet.acknowledgement, now);
-    if (!entry.datagram.empty() && !entry.waiting && !entry.exhausted) {
+    if (!entry.datagram.empty() && !entry.waiting && (!entry.exhausted || isUnanswered(entry))) {
         return; // the verdict on the earlier transmission is outstanding; after its timeout tick() tries another agent
     }
     entry.datagram.assign(datagram.begin(), datagram.end());
@@ -230,11 +240,8 @@
     if (!flow.opening) {
         return;
     }
-    // The flow is open at one of the agents that were offered it, unless another balancer may have offered it as well.
-    if (flow.opening->transmissions.isComplete(now)) {
-        flow.candidates = agentsOffered(*flow.opening);
-        flow.candidatesUntil = now + verdictTimeout;
-    }
+    flow.candidates = agentsOffered(*flow.opening);
+    flow.candidatesComplete = flow.opening->transmissions.isComplete(now);
     if (flow.candidates.size() != 1) {
         flow.owners.clear(); // until an agent confirms that it owns the flow
     }
@@ -280,15 +287,14 @@
 void FlowSteering::search(Flow& flow, const std::string& service, std::span<const std::uint8_t> datagram, TimePoint now,
     std::vector<SteeringAction>& actions) const
 {
-    const bool onlyCandidates = now < flow.candidatesUntil;
-    auto purpose = SteeringPurpose::Search;
-    if (!onlyCandidates) {
-        if (!flow.searchedSince) {
-            flow.searchedSince = now;
-        } else if (now - *flow.searchedSince >= verdictTimeout) {
-            purpose = SteeringPurpose::Recover;
-        }
-    }
+    if (!flow.searchedSince) {
+        flow.searchedSince = now;
+    }
+    // A search at every agent costs as many packets as there are agents, so it is left to flows that another balancer
+    // may have placed. Otherwise searches overload a slow link as soon as it delays the answers of the agents asked.
+    const bool unanswered = now - *flow.searchedSince >= searchTimeout;
+    const bool onlyCandidates = !flow.candidates.empty() && (flow.candidatesComplete || !unanswered);
+    const auto purpose = unanswered ? SteeringPurpose::Recover : SteeringPurpose::Search;
     for (const Endpoint& agent : onlyCandidates ? flow.candidates : this->placement.agentsOf(service)) {
         actions.emplace_back(
             SteerPacket { agent, purpose, flow.service, {}, 0, FlowUrgency::InTime, 0, {}, {}, datagram });
@@ -375,7 +381,7 @@
         return;
     }
     Flow& flow = found->second;
-    flow.candidatesUntil = now;
+    flow.candidates.clear();
     flow.searchedSince.reset();
     if (flow.opening && !flow.opened) {
         // The agent admitted the flow, but its backend server has not answered: another agent may take it.
@@ -423,7 +429,8 @@
         if (opening->second.waiting) {
             keep = this->refuse(opening->first, opening->second, "no_agent", now, actions);
         } else if (opening->second.exhausted) {
-            keep = this->placeAgain(opening->first, opening->second, now, actions);
+            keep = !isUnanswered(opening->second) && opening->second.transmissions.age(now) < openingLifetime
+                && this->placeAgain(opening->first, opening->second, now, actions);
         } else {
             opening->second.possiblyOpen = true;
             this->placement.recordVerdictTimeout(opening->second.tried.back());
--- a/src/coordination/FlowSteering.h
+++ b/src/coordination/FlowSteering.h
@@ -75,9 +75,9 @@
 
     struct Flow {
         std::vector<Endpoint> owners; // more than one if several agents have admitted the flow
-        std::vector<Endpoint> candidates; // agents at which the owner of an open flow is searched until candidatesUntil
-        TimePoint candidatesUntil; // from then on every agent of the service is searched
-        std::optional<TimePoint> searchedSince; // since when every agent of the service has been searched
+        std::vector<Endpoint> candidates; // agents that this balancer offered the flow
+        bool candidatesComplete { false }; // no other balancer can have offered the flow
+        std::optional<TimePoint> searchedSince; // since when the owner of the open flow has been searched
         std::uint64_t service { 0 }; // serviceHash(); 0: unknown
         TimePoint lastPacket;
         std::uint32_t lastAcknowledgement { 0 };
@@ -99,6 +99,9 @@
     void waitForAgent(Opening&, TimePoint now) const;
     static OpeningHistory history(const Opening&, TimePoint now);
     static std::vector<Endpoint> agentsOffered(const Opening&);
+    // Whether the last agent tried has not answered. The link to the agents may be overloaded, so that another round of
+    // offers would load it even more.
+    static bool isUnanswered(const Opening&);
     static void recordVerdict(Opening&, const Endpoint& agent, FlowVerdict, TimePoint now);
     // Resets the flow unless it may be open at an agent, also by an offer of another balancer. Returns whether to keep
     // the opening.
--- a/test/unit/FlowSteeringResetTest.cpp
+++ b/test/unit/FlowSteeringResetTest.cpp
@@ -182,6 +182,23 @@
     CHECK(balancer.asked().size() == 1);
 }
 
+// Guards against overloaded links: flows that no agent answers are offered again and again.
+TEST_CASE("a flow whose offers are not answered is not offered again")
+{
+    SteeringFixture balancer;
+    balancer.sendFirst();
+    balancer.tick(milliseconds(30));
+    balancer.tick(milliseconds(60));
+    CHECK(balancer.asked().empty());
+    balancer.tick(milliseconds(199));
+    CHECK(balancer.asked().empty());
+    balancer.sendFirst(1, milliseconds(200));
+    CHECK(balancer.asked().empty());
+    balancer.tick(milliseconds(1460));
+    CHECK(balancer.steering.openingCount() == 0);
+    CHECK_FALSE(balancer.resets());
+}
+
 // Guards against FLOW: a first packet delayed on another path makes the balancer forget that the flow is open.
 TEST_CASE("a first packet that arrives after later packets of its flow does not lead to a reset")
 {
