Keep an open flow with its owner when its route changes its service

What callers saw: nothing yet; the review of the search change found it. After a configuration that sends new flows of a route to another service, each open flow of the route was refused by its owner as one of the wrong service.

Cause: the change of the search set the service of a flow anew with each packet, whereas it used to be set once.

Change: the service is set when it is unknown or the owner is.

Evidence: the new case failed before this change and passes now.

--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -270,12 +270,13 @@
     flow.lastPacket = now;
     flow.lastAcknowledgement = packet.acknowledgement;
     flow.closing = flow.closing || packet.finishes || packet.resets;
-    if (route != nullptr) {
-        flow.service = serviceHash(route->service);
-    }
     if (!flow.opened) {
         markOpened(flow, now);
     }
+    // A route may have changed its service, but an open flow stays with its owner.
+    if (route != nullptr && (flow.service == 0 || flow.owners.empty())) {
+        flow.service = serviceHash(route->service);
+    }
     if (!flow.owners.empty()) {
         actions.emplace_back(SteerPacket { flow.owners.front(), SteeringPurpose::KnownFlow, flow.service, {}, 0,
             FlowUrgency::InTime, 0, {}, {}, datagram });
--- a/test/unit/FlowSteeringSearchTest.cpp
+++ b/test/unit/FlowSteeringSearchTest.cpp
@@ -101,3 +101,18 @@
     balancer.sendLater(milliseconds(301));
     CHECK(purpose() == SteeringPurpose::Search);
 }
+
+// Guards against open flows that are lost when a configuration sends new flows of their route to another service.
+TEST_CASE("an open flow stays with its owner when its route changes its service")
+{
+    SteeringFixture balancer;
+    balancer.sendFirst();
+    const Endpoint owner = balancer.asked().back();
+    balancer.receiveVerdict(owner, FlowVerdict::Admitted, milliseconds(2));
+    balancer.sendLater(milliseconds(4));
+    balancer.applyRoutes(
+        2, { { SteeringFixture::route, { "drawing", true, milliseconds(100), milliseconds(1000), 1 } } });
+    balancer.sendLater(milliseconds(6));
+    REQUIRE(balancer.asked() == std::vector { owner });
+    CHECK(std::get<SteerPacket>(balancer.actions.back()).service == serviceHash("job"));
+}
