Do not offer an open flow again when a late copy of its first packet arrives

What callers saw: found by review. A late copy of the first packet of an open flow without a known owner made the balancer offer the flow as a new one, and search its owner only among the agents of these offers. A flow whose last offer was not answered was forgotten instead of offered again.

Change: a late copy of an open flow is dropped. A flow that is not open is offered again at once with all that is known of it; the port of a flow that has ended may be used for a new one.

Evidence: the case of late first packets checks that nothing is offered and that every agent is searched; it failed before this change.

--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -187,6 +187,21 @@
     return this->place(key, opening, now, actions);
 }
 
+void FlowSteering::reopen(Flows::iterator flow, const FlowPacket& packet, std::span<const std::uint8_t> datagram,
+    TimePoint now, std::vector<SteeringAction>& actions)
+{
+    const FlowKey key = flow->first;
+    Opening opening = flow->second.opening ? std::move(*flow->second.opening) : Opening();
+    this->flows.erase(flow);
+    opening.possiblyOpen = true;
+    opening.transmissions.record(packet.acknowledgement, now);
+    opening.datagram.assign(datagram.begin(), datagram.end());
+    Opening& entry = this->openings.insert_or_assign(key, std::move(opening)).first->second;
+    if (!this->placeAgain(key, entry, now, actions)) {
+        this->openings.erase(key);
+    }
+}
+
 void FlowSteering::handleFirstPacket(const FlowPacket& packet, std::span<const std::uint8_t> datagram, TimePoint now,
     std::vector<SteeringAction>& actions)
 {
@@ -209,12 +224,14 @@
                 flow->second.service, limit, 0, FlowUrgency::Late, 0, {}, {}, datagram });
             return;
         }
-        // The flow may be open at one of these agents, so another round of offers must not end with a reset.
-        Opening reopened = flow->second.opening ? std::move(*flow->second.opening) : Opening();
-        reopened.possiblyOpen = true;
-        reopened.exhausted = true;
-        this->openings.insert_or_assign(key, std::move(reopened));
-        this->flows.erase(flow);
+        if (flow->second.opened && !flow->second.closing) {
+            return; // a late copy: the caller has accepted an answer, and the owner is being searched
+        }
+        if (!flow->second.opened) {
+            this->reopen(flow, packet, datagram, now, actions);
+            return;
+        }
+        this->flows.erase(flow); // the caller uses the port of a flow that has ended for a new one
     }
     const auto opening = this->openings.find(key);
     if (opening == this->openings.end() && this->openings.size() >= maxOpenings) {
--- a/src/coordination/FlowSteering.h
+++ b/src/coordination/FlowSteering.h
@@ -86,8 +86,12 @@
         std::optional<Opening> opening; // kept until the owner is confirmed
     };
 
+    using Flows = std::unordered_map<FlowKey, Flow, FlowKeyHash>;
     using Openings = std::unordered_map<FlowKey, Opening, FlowKeyHash>;
 
+    // Offers a flow again whose owner does not answer or is not certain.
+    void reopen(Flows::iterator, const FlowPacket&, std::span<const std::uint8_t> datagram, TimePoint now,
+        std::vector<SteeringAction>& actions);
     void handleFirstPacket(
         const FlowPacket&, std::span<const std::uint8_t> datagram, TimePoint now, std::vector<SteeringAction>& actions);
     void handleLaterPacket(
@@ -120,7 +124,7 @@
 
     const HostDirectory& directory;
     FlowPlacement& placement;
-    std::unordered_map<FlowKey, Flow, FlowKeyHash> flows;
+    Flows flows;
     Openings openings;
     TimePoint nextSweep;
 };
--- a/test/unit/FlowSteeringResetTest.cpp
+++ b/test/unit/FlowSteeringResetTest.cpp
@@ -205,6 +205,9 @@
     SteeringFixture balancer;
     balancer.sendLater();
     balancer.sendFirst(0, milliseconds(1));
+    CHECK(balancer.asked().empty());
     balancer.refuseEverywhere(milliseconds(3));
     CHECK_FALSE(balancer.resets());
+    balancer.sendLater(milliseconds(200));
+    CHECK(balancer.asked().size() == 2);
 }
