Search every agent when the agents asked have not answered for 1 s

If a first packet was queued at a balancer for longer than the caller waits before it retransmits, another balancer may have placed the flow although no transmission seems to be missing. The search among the agents asked then never ended.

Change: the search among the agents asked ends after 1 s, within the 2 s that the users' rules allow.

Evidence: the case checks both the agents asked at 208 ms and every agent at 1,408 ms; the second half failed before this change.

--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -53,6 +53,10 @@
 // packet, so that the repetition is sent to more agents.
 constexpr std::chrono::milliseconds searchTimeout { 150 };
 
+// The same for a flow that only the agents asked can have, as far as this balancer knows: its first packet may have
+// been queued here for longer than the caller waits before it retransmits. The users' rules allow 2 s.
+constexpr std::chrono::milliseconds completeSearchTimeout { 1000 };
+
 // Covers retransmissions after both endpoints have finished.
 constexpr std::chrono::milliseconds closedFlowLifetime { 2000 };
 
@@ -310,8 +314,10 @@
     }
     // A search at every agent costs as many packets as there are agents, so it is left to flows that another balancer
     // may have placed. Otherwise searches overload a slow link as soon as it delays the answers of the agents asked.
-    const bool unanswered = now - *flow.searchedSince >= searchTimeout;
-    const bool onlyCandidates = !flow.candidates.empty() && (flow.candidatesComplete || !unanswered);
+    const auto searched = now - *flow.searchedSince;
+    const bool unanswered = searched >= searchTimeout;
+    const bool onlyCandidates
+        = !flow.candidates.empty() && searched < (flow.candidatesComplete ? completeSearchTimeout : searchTimeout);
     const auto purpose = unanswered ? SteeringPurpose::Recover : SteeringPurpose::Search;
     for (const Endpoint& agent : onlyCandidates ? flow.candidates : this->placement.agentsOf(service)) {
         actions.emplace_back(
--- a/test/unit/FlowSteeringSearchTest.cpp
+++ b/test/unit/FlowSteeringSearchTest.cpp
@@ -50,7 +50,7 @@
 }
 
 // Guards against overloaded links: only the agents asked can have the flow, and searching all would not find it sooner.
-TEST_CASE("an open flow whose first packet arrived only here is never searched at agents that were not asked")
+TEST_CASE("an open flow whose first packet arrived only here is searched at the agents asked for 1 s")
 {
     SteeringFixture balancer { 4 };
     balancer.sendFirst();
@@ -62,6 +62,8 @@
     CHECK(balancer.asked() == std::vector { refusing, admitting });
     balancer.sendLater(milliseconds(208));
     CHECK(balancer.asked() == std::vector { refusing, admitting });
+    balancer.sendLater(milliseconds(1408));
+    CHECK(balancer.asked().size() == 4);
 }
 
 // Guards against a second backend server for an open flow: its first packet is offered again after later ones.
