Do not conclude from an agent's first seconds more than it knows

What callers saw: found by review. An agent that had just started forwarded a reset with which its backend server answered a packet delivered on trial, and took it as proof that the flow was open there; a flow can have ended there and be open elsewhere. It refused the retransmission of a first packet that its backend server had accepted before the start, and the balancer reset the flow.

Change: a reset in answer to a packet on trial is dropped. A returned late copy of a first packet no longer ends a trial delivery.

--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -178,8 +178,11 @@
         actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::Admitted, {}, {} });
         return;
     }
+    // The backend server may have accepted an earlier transmission, so a refusal must not lead to a reset.
+    const bool possiblyAccepted = packet.acknowledgement > 0 && this->mayHaveBeenAnsweredBeforeStart(now);
     if (this->leaving) {
-        actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::RefusedLeaving, {}, {} });
+        actions.emplace_back(SendVerdict { offer.balancer, key,
+            possiblyAccepted ? FlowVerdict::RefusedByBackendServer : FlowVerdict::RefusedLeaving, {}, {} });
         return;
     }
     if (this->isBackendServerSilent(now)) {
@@ -193,7 +196,8 @@
         this->demandUpdatedAt = now;
     }
     if (wait > offer.waitLimit) {
-        actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::RefusedFull, wait, {} });
+        actions.emplace_back(SendVerdict { offer.balancer, key,
+            possiblyAccepted ? FlowVerdict::RefusedByBackendServer : FlowVerdict::RefusedFull, wait, {} });
         return;
     }
     actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::Admitted, wait, {} });
@@ -320,6 +324,9 @@
     const FlowKey key = packet.keyFromCaller();
     HostFlow* flow = this->flows.find(key);
     if (flow == nullptr) {
+        if (packet.isFirst()) {
+            return; // a late copy; the answer to a packet delivered on trial is still to come
+        }
         // The flow is held by another agent's backend server or by none.
         if (const auto delivery = this->tentativeDeliveries.extract(key)) {
             actions.emplace_back(ReportReturnedPacket { key, false });
@@ -354,12 +361,16 @@
         return;
     }
     const FlowKey key = packet.keyFromBackendServer();
-    actions.emplace_back(DeliverToCaller { packet.destination, datagram });
     HostFlow* flow = this->flows.find(key);
+    const auto delivery = this->tentativeDeliveries.find(key);
+    const bool onTrial = flow == nullptr && delivery != this->tentativeDeliveries.end();
+    if (onTrial && packet.resets) {
+        return; // the backend server had the flow and ended it, so that it may be open elsewhere
+    }
+    actions.emplace_back(DeliverToCaller { packet.destination, datagram });
     if (flow == nullptr) {
-        const auto delivery = this->tentativeDeliveries.find(key);
         // A backend server repeats its answer to a first packet also for a flow that is open elsewhere.
-        if (delivery != this->tentativeDeliveries.end() && !packet.opens) {
+        if (onTrial && !packet.opens) {
             // The flow was opened before this agent started.
             HostFlow& found = this->flows.open(key, delivery->second.balancer, now);
             this->flows.setPhase(found, HostFlowPhase::Idle, now);
--- a/test/unit/HostAdmissionTest.cpp
+++ b/test/unit/HostAdmissionTest.cpp
@@ -39,11 +39,12 @@
     {
     }
 
-    void offer(const std::string& service = "job", const Endpoint& from = caller)
+    void offer(const std::string& service = "job", const Endpoint& from = caller, std::uint32_t copy = 0)
     {
         this->actions.clear();
         FlowPacket packet = packetBetween(from, route);
         packet.opens = true;
+        packet.acknowledgement = copy;
         this->admission.handleNewFlow({ balancer, milliseconds(40), 1, FlowUrgency::InTime, 2 }, serviceHash(service),
             packet, bytes, start, this->actions);
     }
@@ -309,3 +310,28 @@
     agent.fromCaller([](FlowPacket&) {});
     CHECK(agent.delivered());
 }
+
+// Guards against FLOW: a backend server answers a packet delivered on trial with a reset, as on a flow that it has
+// ended.
+TEST_CASE("a reset in answer to a packet delivered on trial neither reaches the caller nor proves ownership")
+{
+    Agent agent(seconds(1));
+    agent.fromCaller([](FlowPacket&) {}, SteeringPurpose::Recover);
+    CHECK(agent.delivered());
+    agent.fromHost([](FlowPacket& packet) { packet.resets = true; });
+    CHECK(agent.actions.empty());
+}
+
+// Guards against FLOW: a restarted agent refuses a retransmission of a first packet that its backend server has
+// accepted.
+TEST_CASE("an agent that has just started does not refuse a retransmission as one that cannot be open here")
+{
+    Agent agent(seconds(1));
+    agent.admission.refuseNewFlows();
+    agent.offer("job", caller, 1);
+    CHECK(agent.verdicts() == std::vector { FlowVerdict::RefusedByBackendServer });
+    Agent older(seconds(2));
+    older.admission.refuseNewFlows();
+    older.offer("job", caller, 1);
+    CHECK(older.verdicts() == std::vector { FlowVerdict::RefusedLeaving });
+}
