Send a retransmission to the agent whose verdict is missing

What callers saw: found by review. One lost datagram between balancer and agent left a flow without a further offer until its caller gave up after 1.4 s.

Cause: a flow whose last offer was not answered is not offered again, so that an overloaded link recovers; its retransmissions were dropped as well.

--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -191,6 +191,17 @@
     return this->place(key, opening, now, actions);
 }
 
+void FlowSteering::askLastAgentAgain(const FlowKey& key, const Opening& opening, std::span<const std::uint8_t> datagram,
+    TimePoint now, std::vector<SteeringAction>& actions) const
+{
+    if (const FlowRoute* route = this->directory.route(key.service)) {
+        const auto limit = waitLimit(*route, FlowUrgency::Late, opening.transmissions.age(now));
+        actions.emplace_back(SteerPacket { opening.offers.back().agent, SteeringPurpose::NewFlow,
+            serviceHash(route->service), std::max(std::chrono::milliseconds(0), limit), route->priority,
+            FlowUrgency::Late, 0, {}, {}, datagram });
+    }
+}
+
 void FlowSteering::reopen(Flows::iterator flow, const FlowPacket& packet, std::span<const std::uint8_t> datagram,
     TimePoint now, std::vector<SteeringAction>& actions)
 {
@@ -246,9 +257,13 @@
     }
     Opening& entry = this->openings[key];
     entry.transmissions.record(packet.acknowledgement, now);
-    if (!entry.datagram.empty() && !entry.waiting && (!entry.exhausted || isUnanswered(entry))) {
+    if (!entry.datagram.empty() && !entry.waiting && !entry.exhausted) {
         return; // the verdict on the earlier transmission is outstanding; after its timeout tick() tries another agent
     }
+    if (entry.exhausted && isUnanswered(entry)) {
+        this->askLastAgentAgain(key, entry, datagram, now, actions);
+        return;
+    }
     entry.datagram.assign(datagram.begin(), datagram.end());
     if (!this->placeAgain(key, entry, now, actions)) {
         this->openings.erase(key);
@@ -397,6 +412,8 @@
         if (!opening->second.waiting && !opening->second.exhausted && !tried.empty() && tried.back() == agent) {
             this->placement.recordVerdict(agent);
             this->placeOrErase(opening, now, actions);
+        } else if (opening->second.exhausted) {
+            opening->second.deadline = std::min(opening->second.deadline, now + firstRoundDelay);
         }
         return;
     }
--- a/src/coordination/FlowSteering.h
+++ b/src/coordination/FlowSteering.h
@@ -89,6 +89,9 @@
     using Flows = std::unordered_map<FlowKey, Flow, FlowKeyHash>;
     using Openings = std::unordered_map<FlowKey, Opening, FlowKeyHash>;
 
+    // Sends a retransmission to the agent whose verdict is missing. A single packet does not add to an overload.
+    void askLastAgentAgain(const FlowKey&, const Opening&, std::span<const std::uint8_t> datagram, TimePoint now,
+        std::vector<SteeringAction>& actions) const;
     // Offers a flow again whose owner does not answer or is not certain.
     void reopen(Flows::iterator, const FlowPacket&, std::span<const std::uint8_t> datagram, TimePoint now,
         std::vector<SteeringAction>& actions);
