Perform the actions of each verdict before the next one

A report may hold several verdicts. An offer that one of them causes refers to the datagram of its opening, which a later verdict on the same flow can erase. Found by review; no run has shown it.

--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -256,6 +256,7 @@
     this->learnPeers(message.balancers, now);
     for (const VerdictMessage& item : message.verdicts) {
         this->steering.handleVerdict(agent, item.flow, item.verdict, now, this->actions);
+        this->perform();
         if (item.verdict > FlowVerdict::Owned) {
             this->metrics.retries("steer flow", std::string(flowVerdictName(item.verdict))).Increment();
             this->log.log(EventLog::Importance::Notable, "flow_refused_by_agent",
@@ -265,7 +266,6 @@
                     { "slots", message.load.slots } });
         }
     }
-    this->perform();
 }
 
 void BalancerNode::receivePeerMessages()
