Forget removed routes after the lifetime of a flow without a further configuration

Entries were removed only when a newer configuration arrived. The test now checks the bound itself; the earlier one applied a configuration.

--- a/src/state/HostDirectory.cpp
+++ b/src/state/HostDirectory.cpp
@@ -58,9 +58,7 @@
             this->removedRoutes[address] = now;
         }
     }
-    std::erase_if(this->removedRoutes, [&](const auto& item) {
-        return next.routes.contains(item.first) || now - item.second > removedRouteRetention;
-    });
+    std::erase_if(this->removedRoutes, [&](const auto& item) { return next.routes.contains(item.first); });
     this->table = next;
 }
 
@@ -100,6 +98,7 @@
 
 bool HostDirectory::expire(TimePoint now)
 {
+    std::erase_if(this->removedRoutes, [&](const auto& item) { return now - item.second > removedRouteRetention; });
     return std::erase_if(this->known, [&](const auto& item) {
         return item.second.missingSince && now - *item.second.missingSince >= missingHostTimeout;
     }) > 0;
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -44,7 +44,8 @@
     // Returns whether hosts were removed.
     bool endListing(TimePoint now);
 
-    // Removes hosts that have been missing for at least missingHostTimeout. Returns whether any were removed.
+    // Removes hosts that have been missing for at least missingHostTimeout, and forgets routes that were removed more
+    // than removedRouteRetention ago. Returns whether hosts were removed.
     bool expire(TimePoint now);
 
     const RouteTable& routes() const { return this->table; }
--- a/test/unit/HostDirectoryTest.cpp
+++ b/test/unit/HostDirectoryTest.cpp
@@ -118,9 +118,11 @@
         directory.apply(routes(3, "job"), start);
         CHECK_FALSE(directory.isRemovedRoute({ 1, 443 }));
     }
-    SUBCASE("a later configuration after the lifetime")
+    SUBCASE("the lifetime has passed")
     {
-        directory.apply(RouteTableWritten { { 3, {}, milliseconds(15000) } }, start + milliseconds(60001));
+        directory.expire(start + milliseconds(60000));
+        CHECK(directory.isRemovedRoute({ 1, 443 }));
+        directory.expire(start + milliseconds(60001));
         CHECK_FALSE(directory.isRemovedRoute({ 1, 443 }));
     }
 }
