--- a/src/coordination/FlowSteering.h
+++ b/src/coordination/FlowSteering.h
@@ -23,7 +23,7 @@
 struct FlowRoute;
 
 // Decides to which agent a balancer forwards each packet of a caller. The balancer only caches the owners of flows; the
-// agents are authoritative. If the owner is unknown, the packet is sent to every agent of the service.
+// agents are authoritative. If the owner is unknown, it is searched among the agents of the service.
 class FlowSteering {
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
@@ -67,7 +67,8 @@
         FirstPacketTransmissions transmissions;
         TimePoint deadline; // for the agent's verdict or for an agent to become available
         bool waiting { false }; // for the configuration or an agent; no verdict is outstanding
-        // An agent's verdict or its backend server's answer timed out: the flow may nevertheless be open there.
+        // An offer of this balancer may have opened the flow: a verdict or the backend server's answer is missing, or
+        // the flow was admitted before.
         bool possiblyOpen { false };
         bool exhausted { false }; // all agents tried have refused; the next round of offers starts at the deadline
         std::uint32_t refusedRounds { 0 }; // rounds of offers that ended without a reset, because the flow may be open
--- a/src/coordination/OpeningHistory.h
+++ b/src/coordination/OpeningHistory.h
@@ -23,7 +23,7 @@
     // from 0. Other balancers may have received the transmissions before the first and those that are missing.
     std::uint32_t firstTransmission { 0 };
     std::uint32_t lastTransmission { 0 };
-    std::chrono::milliseconds age { 0 }; // since the first transmission arrived here
+    std::chrono::milliseconds age { 0 }; // since the caller sent the packet first, as estimated
     bool possiblyOpen { false }; // a backend server may have accepted the flow
     std::vector<OfferOutcome> offers; // in order
 };
