--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -53,6 +53,10 @@
 // packet, so that the repetition is sent to more agents.
 constexpr std::chrono::milliseconds searchTimeout { 150 };
 
+// The same for a flow that only the agents asked can have, as far as this balancer knows: its first packet may have
+// been queued here for longer than the caller waits before it retransmits. The users' rules allow 2 s.
+constexpr std::chrono::milliseconds completeSearchTimeout { 1000 };
+
 // Covers retransmissions after both endpoints have finished.
 constexpr std::chrono::milliseconds closedFlowLifetime { 2000 };
 
@@ -187,6 +191,32 @@
     return this->place(key, opening, now, actions);
 }
 
+void FlowSteering::askLastAgentAgain(const FlowKey& key, const Opening& opening, std::span<const std::uint8_t> datagram,
+    TimePoint now, std::vector<SteeringAction>& actions) const
+{
+    if (const FlowRoute* route = this->directory.route(key.service)) {
+        const auto limit = waitLimit(*route, FlowUrgency::Late, opening.transmissions.age(now));
+        actions.emplace_back(SteerPacket { opening.offers.back().agent, SteeringPurpose::NewFlow,
+            serviceHash(route->service), std::max(std::chrono::milliseconds(0), limit), route->priority,
+            FlowUrgency::Late, 0, {}, {}, datagram });
+    }
+}
+
+void FlowSteering::reopen(Flows::iterator flow, const FlowPacket& packet, std::span<const std::uint8_t> datagram,
+    TimePoint now, std::vector<SteeringAction>& actions)
+{
+    const FlowKey key = flow->first;
+    Opening opening = flow->second.opening ? std::move(*flow->second.opening) : Opening();
+    this->flows.erase(flow);
+    opening.possiblyOpen = true;
+    opening.transmissions.record(packet.acknowledgement, now);
+    opening.datagram.assign(datagram.begin(), datagram.end());
+    Opening& entry = this->openings.insert_or_assign(key, std::move(opening)).first->second;
+    if (!this->placeAgain(key, entry, now, actions)) {
+        this->openings.erase(key);
+    }
+}
+
 void FlowSteering::handleFirstPacket(const FlowPacket& packet, std::span<const std::uint8_t> datagram, TimePoint now,
     std::vector<SteeringAction>& actions)
 {
@@ -209,12 +239,14 @@
                 flow->second.service, limit, 0, FlowUrgency::Late, 0, {}, {}, datagram });
             return;
         }
-        // The flow may be open at one of these agents, so another round of offers must not end with a reset.
-        Opening reopened = flow->second.opening ? std::move(*flow->second.opening) : Opening();
-        reopened.possiblyOpen = true;
-        reopened.exhausted = true;
-        this->openings.insert_or_assign(key, std::move(reopened));
-        this->flows.erase(flow);
+        if (flow->second.opened && !flow->second.closing) {
+            return; // a late copy: the caller has accepted an answer, and the owner is being searched
+        }
+        if (!flow->second.opened) {
+            this->reopen(flow, packet, datagram, now, actions);
+            return;
+        }
+        this->flows.erase(flow); // the caller uses the port of a flow that has ended for a new one
     }
     const auto opening = this->openings.find(key);
     if (opening == this->openings.end() && this->openings.size() >= maxOpenings) {
@@ -225,9 +257,13 @@
     }
     Opening& entry = this->openings[key];
     entry.transmissions.record(packet.acknowledgement, now);
-    if (!entry.datagram.empty() && !entry.waiting && (!entry.exhausted || isUnanswered(entry))) {
+    if (!entry.datagram.empty() && !entry.waiting && !entry.exhausted) {
         return; // the verdict on the earlier transmission is outstanding; after its timeout tick() tries another agent
     }
+    if (entry.exhausted && isUnanswered(entry)) {
+        this->askLastAgentAgain(key, entry, datagram, now, actions);
+        return;
+    }
     entry.datagram.assign(datagram.begin(), datagram.end());
     if (!this->placeAgain(key, entry, now, actions)) {
         this->openings.erase(key);
@@ -270,12 +306,13 @@
     flow.lastPacket = now;
     flow.lastAcknowledgement = packet.acknowledgement;
     flow.closing = flow.closing || packet.finishes || packet.resets;
-    if (route != nullptr) {
-        flow.service = serviceHash(route->service);
-    }
     if (!flow.opened) {
         markOpened(flow, now);
     }
+    // A route may have changed its service, but an open flow stays with its owner.
+    if (route != nullptr && (flow.service == 0 || flow.owners.empty())) {
+        flow.service = serviceHash(route->service);
+    }
     if (!flow.owners.empty()) {
         actions.emplace_back(SteerPacket { flow.owners.front(), SteeringPurpose::KnownFlow, flow.service, {}, 0,
             FlowUrgency::InTime, 0, {}, {}, datagram });
@@ -292,8 +329,10 @@
     }
     // A search at every agent costs as many packets as there are agents, so it is left to flows that another balancer
     // may have placed. Otherwise searches overload a slow link as soon as it delays the answers of the agents asked.
-    const bool unanswered = now - *flow.searchedSince >= searchTimeout;
-    const bool onlyCandidates = !flow.candidates.empty() && (flow.candidatesComplete || !unanswered);
+    const auto searched = now - *flow.searchedSince;
+    const bool unanswered = searched >= searchTimeout;
+    const bool onlyCandidates
+        = !flow.candidates.empty() && searched < (flow.candidatesComplete ? completeSearchTimeout : searchTimeout);
     const auto purpose = unanswered ? SteeringPurpose::Recover : SteeringPurpose::Search;
     for (const Endpoint& agent : onlyCandidates ? flow.candidates : this->placement.agentsOf(service)) {
         actions.emplace_back(
@@ -373,6 +412,8 @@
         if (!opening->second.waiting && !opening->second.exhausted && !tried.empty() && tried.back() == agent) {
             this->placement.recordVerdict(agent);
             this->placeOrErase(opening, now, actions);
+        } else if (opening->second.exhausted) {
+            opening->second.deadline = std::min(opening->second.deadline, now + firstRoundDelay);
         }
         return;
     }
