--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -224,11 +224,11 @@
     const auto flow = this->flows.find(key);
     if (flow != this->flows.end()) {
         flow->second.lastPacket = now;
-        // The backend server's answer was lost or the flow still waits for a slot: forward the retransmission to the
-        // owner.
         if (flow->second.opening) {
             flow->second.opening->transmissions.record(packet.acknowledgement, now);
         }
+        // The backend server's answer was lost or the flow still waits for a slot: forward the retransmission to the
+        // owner.
         if (flow->second.owners.size() == 1 && !this->placement.isSilent(flow->second.owners.front())) {
             const FlowRoute* route = this->directory.route(key.service);
             const auto limit = route == nullptr
--- a/src/coordination/FlowSteering.h
+++ b/src/coordination/FlowSteering.h
@@ -70,7 +70,7 @@
         // An offer of this balancer may have opened the flow: a verdict or the backend server's answer is missing, or
         // the flow was admitted before.
         bool possiblyOpen { false };
-        bool exhausted { false }; // all agents tried have refused; the next round of offers starts at the deadline
+        bool exhausted { false }; // no further agent is tried in this round of offers; it ends at the deadline
         std::uint32_t refusedRounds { 0 }; // rounds of offers that ended without a reset, because the flow may be open
     };
 
