Serve weighted routes, and follow the store whatever one entry holds

Cause: a route with weighted-backends made parseRouteTable throw, and any item that could not be read made the whole answer of the store fail.

Change: RouteTarget is one service or a weighted set. ServiceSplit ranks the services of a flow by weighted rendezvous hashing, so that all balancers agree; a service without a usable agent leaves its share to the others (service_skipped). Searches go to the selected service, then to the others of the route, then to every agent. Items of an answer are split before they are parsed, and one that cannot be read, is too large or nested too deeply costs only itself; it is counted, and logged once. An unreadable configuration leaves the one in force. Both are one commit because the parser of routes is part of the other change.

--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -208,6 +208,14 @@
             { "age_ms", action.history.age.count() }, { "offers", formatOffers(action.history) } });
 }
 
+void BalancerNode::logSkippedService(const ReportSkippedService& skipped)
+{
+    this->metrics.events("service_skipped").Increment();
+    this->log.log(EventLog::Importance::Routine, "service_skipped",
+        { { "flow", formatFlow(skipped.flow) }, { "selected", skipped.selected }, { "used", skipped.used },
+            { "configuration", static_cast<std::int64_t>(this->directory.routes().version) } });
+}
+
 void BalancerNode::perform()
 {
     for (const SteeringAction& action : this->actions) {
@@ -215,6 +223,7 @@
                        [this](const SteerPacket& packet) { this->sendSteeredPacket(packet); },
                        [this](const SendReset& flow) { this->sendReset(flow); },
                        [this](const WithholdReset& flow) { this->logWithheldReset(flow); },
+                       [this](const ReportSkippedService& flow) { this->logSkippedService(flow); },
                    },
             action);
     }
--- a/src/app/BalancerNode.h
+++ b/src/app/BalancerNode.h
@@ -47,6 +47,7 @@
     void sendSteeredPacket(const SteerPacket&);
     void sendReset(const SendReset&);
     void logWithheldReset(const WithholdReset&);
+    void logSkippedService(const ReportSkippedService&);
     void detectPause(std::chrono::nanoseconds now);
     void tick(TimePoint now);
     void sendHellos(TimePoint now);
--- a/src/app/DirectorySnapshot.cpp
+++ b/src/app/DirectorySnapshot.cpp
@@ -2,6 +2,9 @@
 
 #include "state/HostDirectory.h"
 #include "steering.pb.h"
+#include "support/Overloaded.h"
+
+#include <limits>
 
 namespace chicoryferry {
 
@@ -9,18 +12,52 @@
 
 using std::chrono::milliseconds;
 
+RouteTarget readTarget(const wire::DirectorySnapshot::Route& item)
+{
+    if (!item.service().empty()) {
+        return item.service();
+    }
+    std::vector<WeightedService> services;
+    for (const auto& weighted : item.weighted_services()) {
+        services.push_back({ weighted.service(), weighted.weight() });
+    }
+    return services;
+}
+
 RouteTable readRoutes(const wire::DirectorySnapshot& snapshot)
 {
     RouteTable table;
     table.version = snapshot.configuration_version();
     table.idleTimeout = milliseconds(snapshot.idle_timeout_ms());
     for (const auto& item : snapshot.routes()) {
-        table.routes[{ item.address(), static_cast<std::uint16_t>(item.port()) }] = { item.service(), item.idempotent(),
-            milliseconds(item.target_latency_ms()), milliseconds(item.timeout_ms()), item.priority() };
+        table.routes[{ item.address(), static_cast<std::uint16_t>(item.port()) }]
+            = { readTarget(item), item.idempotent(), milliseconds(item.target_latency_ms()),
+                  milliseconds(item.timeout_ms()), item.priority() };
     }
     return table;
 }
 
+void writeTarget(const RouteTarget& target, wire::DirectorySnapshot::Route& item)
+{
+    std::visit(Overloaded {
+                   [&](const std::string& service) { item.set_service(service); },
+                   [&](const std::vector<WeightedService>& services) {
+                       for (const WeightedService& service : services) {
+                           auto& weighted = *item.add_weighted_services();
+                           weighted.set_service(service.service);
+                           weighted.set_weight(service.weight);
+                       }
+                   },
+               },
+        target);
+}
+
+bool isValid(const wire::DirectorySnapshot::Host& host)
+{
+    return !host.id().empty() && !host.service().empty() && host.address() != 0 && host.port() > 0
+        && host.port() <= std::numeric_limits<std::uint16_t>::max() && host.slots() > 0;
+}
+
 }
 
 std::string encodeSnapshot(const HostDirectory& directory, std::uint64_t revision)
@@ -33,7 +70,7 @@
         auto& item = *snapshot.add_routes();
         item.set_address(address.address);
         item.set_port(address.port);
-        item.set_service(route.service);
+        writeTarget(route.target, item);
         item.set_idempotent(route.idempotent);
         item.set_target_latency_ms(static_cast<std::uint32_t>(route.targetLatency.count()));
         item.set_timeout_ms(static_cast<std::uint32_t>(route.timeout.count()));
@@ -68,6 +105,9 @@
         result.changes.emplace_back(RouteTableWritten { readRoutes(snapshot) });
     }
     for (const auto& item : snapshot.hosts()) {
+        if (!isValid(item)) {
+            return std::nullopt;
+        }
         result.changes.emplace_back(
             HostWritten { { item.id(), item.service(), { item.address(), static_cast<std::uint16_t>(item.port()) },
                 item.availability_zone(), item.slots(), item.draining(), milliseconds(0), item.started_at_ms() } });
--- a/src/app/StoreReader.cpp
+++ b/src/app/StoreReader.cpp
@@ -32,6 +32,9 @@
 constexpr milliseconds initialBackoff { 100 };
 constexpr milliseconds maximumBackoff { 1000 };
 
+// Keys in the store have at most 200 bytes; longer names are truncated in log lines.
+constexpr std::size_t maximumLoggedEntry = 200;
+
 // Exceeds a page of the store, which holds at most 1 MB of values, encoded as base64.
 constexpr std::size_t maximumAnswerBytes = 4'000'000;
 
@@ -207,6 +210,23 @@
         { { "host", host }, { "state", state }, { "revision", static_cast<std::int64_t>(revision) } });
 }
 
+void StoreReader::logRefusedEntry(const DirectoryChange& change, std::uint64_t revision)
+{
+    const auto* refused = std::get_if<EntryRefused>(&change);
+    const auto* host = std::get_if<HostRemoved>(&change);
+    const std::string_view entry = refused != nullptr ? refused->entry
+        : host != nullptr                             ? host->id
+                                                      : std::string_view();
+    this->metrics.refusals("read store", "malformed_entry").Increment();
+    if (this->refusedEntries.record(entry)) {
+        this->log.log(EventLog::Importance::Notable, "change_refused",
+            { { "reason", "malformed_entry" }, { "entry", entry.substr(0, maximumLoggedEntry) },
+                { "detail", refused != nullptr ? refused->reason : std::string_view("not the entry of a host") },
+                { "revision", static_cast<std::int64_t>(revision) },
+                { "configuration", static_cast<std::int64_t>(this->directory.routes().version) } });
+    }
+}
+
 void StoreReader::logEffect(const DirectoryChange& change, HostDirectory::Effect effect, std::uint64_t revision)
 {
     const auto configuration = static_cast<std::int64_t>(this->directory.routes().version);
@@ -214,9 +234,7 @@
     case HostDirectory::Effect::None:
         return;
     case HostDirectory::Effect::RefusedMalformed:
-        this->metrics.refusals("read store", "malformed_entry").Increment();
-        this->log.log(EventLog::Importance::Notable, "change_refused",
-            { { "reason", "malformed_entry" }, { "revision", static_cast<std::int64_t>(revision) } });
+        this->logRefusedEntry(change, revision);
         return;
     case HostDirectory::Effect::RefusedOlder:
         this->metrics.refusals("read store", "older_version").Increment();
@@ -236,6 +254,7 @@
                                written.entry.id, written.entry.draining ? "draining" : "ready", revision);
                        },
                        [&](const HostRemoved& removed) { this->logHostChange(removed.id, "gone", revision); },
+                       [](const EntryRefused&) {},
                    },
             change);
     }
@@ -246,6 +265,15 @@
     bool changed = false;
     for (const DirectoryChange& change : changes) {
         const auto effect = this->directory.apply(change, now);
+        if (effect != HostDirectory::Effect::RefusedMalformed) {
+            std::visit(Overloaded {
+                           [this](const RouteTableWritten&) { this->refusedEntries.erase("configuration"); },
+                           [this](const HostWritten& written) { this->refusedEntries.erase(written.entry.id); },
+                           [this](const HostRemoved& removed) { this->refusedEntries.erase(removed.id); },
+                           [](const EntryRefused&) {},
+                       },
+                change);
+        }
         changed = changed || effect == HostDirectory::Effect::HostsChanged
             || effect == HostDirectory::Effect::RoutesChanged;
         this->logEffect(change, effect, revision);
@@ -271,6 +299,13 @@
     }
     this->listing = false;
     this->watchedRevision = std::max(this->watchedRevision, this->listRevision);
+    if (answer.incomplete) {
+        // No host is missing from a listing whose further pages cannot be requested.
+        this->metrics.refusals("read store", "listing_incomplete").Increment();
+        this->log.log(EventLog::Importance::Notable, "listing_incomplete",
+            { { "revision", static_cast<std::int64_t>(this->watchedRevision) } });
+        return;
+    }
     if (this->directory.endListing(now)) {
         this->onChange();
     }
--- a/src/app/StoreReader.h
+++ b/src/app/StoreReader.h
@@ -3,6 +3,7 @@
 #include "protocol/Endpoint.h"
 #include "state/DirectoryChange.h"
 #include "state/HostDirectory.h"
+#include "state/RefusedEntries.h"
 #include "transport/HttpExchange.h"
 
 #include <chrono>
@@ -63,6 +64,7 @@
     void applyEvents(const platform::StoreAnswer&, TimePoint now);
     void apply(const std::vector<DirectoryChange>&, std::uint64_t revision, TimePoint now);
     void logEffect(const DirectoryChange&, HostDirectory::Effect, std::uint64_t revision);
+    void logRefusedEntry(const DirectoryChange&, std::uint64_t revision);
     void logHostChange(std::string_view host, std::string_view state, std::uint64_t revision);
     void handleFetchFailure(const std::string& step, const std::string& reason);
     void handleFailure(const std::string& step, const std::string& reason, TimePoint now);
@@ -76,6 +78,7 @@
     std::function<void()> onChange;
     std::function<void(const Endpoint&)> onFetchFailed;
     std::minstd_rand random;
+    RefusedEntries refusedEntries;
 
     std::unique_ptr<HttpExchange> exchange;
     std::unique_ptr<HttpExchange> finishedExchange; // destroyed at the next tick, because its handler may be running
--- a/src/coordination/FlowPlacement.cpp
+++ b/src/coordination/FlowPlacement.cpp
@@ -32,7 +32,7 @@
 
 }
 
-std::uint64_t serviceHash(const std::string& service) { return XXH3_64bits(service.data(), service.size()); }
+std::uint64_t serviceHash(std::string_view service) { return XXH3_64bits(service.data(), service.size()); }
 
 FlowPlacement::FlowPlacement(std::string zone, std::uint64_t seed)
     : availabilityZone(std::move(zone))
@@ -101,7 +101,7 @@
 }
 
 std::optional<PlacementChoice> FlowPlacement::choose(
-    const std::string& service, FlowUrgency urgency, std::span<const Endpoint> tried, TimePoint now)
+    std::string_view service, FlowUrgency urgency, std::span<const Endpoint> tried, TimePoint now)
 {
     const auto agents = this->byService.find(service);
     if (agents == this->byService.end()) {
@@ -111,8 +111,7 @@
     double bestCost = 0;
     for (const Endpoint& address : agents->second) {
         const State& state = this->states.at(address);
-        if (state.host.draining || (state.reported && state.load.leaving)
-            || std::find(tried.begin(), tried.end(), address) != tried.end()) {
+        if (!isUsable(state) || std::find(tried.begin(), tried.end(), address) != tried.end()) {
             continue;
         }
         std::chrono::microseconds wait {};
@@ -128,6 +127,20 @@
     return best;
 }
 
+bool FlowPlacement::hasUsableAgent(std::string_view service) const
+{
+    const auto agents = this->byService.find(service);
+    return agents != this->byService.end()
+        && std::any_of(agents->second.begin(), agents->second.end(),
+            [this](const Endpoint& address) { return isUsable(this->states.at(address)); });
+}
+
+std::uint64_t FlowPlacement::serviceOf(const Endpoint& agent) const
+{
+    const auto found = this->states.find(agent);
+    return found == this->states.end() ? 0 : serviceHash(found->second.host.service);
+}
+
 void FlowPlacement::recordFlowSent(const Endpoint& agent)
 {
     const auto found = this->states.find(agent);
@@ -159,7 +172,7 @@
     return found == this->states.end() || found->second.silent;
 }
 
-std::vector<Endpoint> FlowPlacement::agentsOf(const std::string& service) const
+std::vector<Endpoint> FlowPlacement::agentsOf(std::string_view service) const
 {
     const auto found = this->byService.find(service);
     return found == this->byService.end() ? std::vector<Endpoint>() : found->second;
--- a/src/coordination/FlowPlacement.h
+++ b/src/coordination/FlowPlacement.h
@@ -7,12 +7,13 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
 #include <span>
 #include <string>
-#include <unordered_map>
+#include <string_view>
 #include <vector>
 
 namespace chicoryferry {
@@ -49,7 +50,13 @@
 
     // Returns nothing if every usable agent of the service has already been tried.
     std::optional<PlacementChoice> choose(
-        const std::string& service, FlowUrgency, std::span<const Endpoint> tried, TimePoint now);
+        std::string_view service, FlowUrgency, std::span<const Endpoint> tried, TimePoint now);
+
+    // Whether the service has an agent that is not about to leave.
+    bool hasUsableAgent(std::string_view service) const;
+
+    // serviceHash() of the service that the agent's backend server serves; 0 if the agent is unknown.
+    std::uint64_t serviceOf(const Endpoint& agent) const;
 
     // Records that a flow was sent to the agent.
     void recordFlowSent(const Endpoint& agent);
@@ -61,7 +68,7 @@
     void recordVerdictTimeout(const Endpoint& agent);
 
     // Agents that may hold flows of the service, including draining ones.
-    std::vector<Endpoint> agentsOf(const std::string& service) const;
+    std::vector<Endpoint> agentsOf(std::string_view service) const;
 
     std::vector<Endpoint> agents() const;
 
@@ -78,15 +85,16 @@
         std::uint32_t unanswered { 0 }; // number of flows sent whose verdict is outstanding
     };
 
+    static bool isUsable(const State& state) { return !state.host.draining && !(state.reported && state.load.leaving); }
     double cost(const State&, FlowUrgency, TimePoint now, std::chrono::microseconds& wait);
 
     std::string availabilityZone;
     std::map<Endpoint, State> states;
-    std::unordered_map<std::string, std::vector<Endpoint>> byService;
+    std::map<std::string, std::vector<Endpoint>, std::less<>> byService;
     std::minstd_rand random;
 };
 
 // Hash of a service name by which agents verify that a packet is for their service; identical in every process.
-std::uint64_t serviceHash(const std::string& service);
+std::uint64_t serviceHash(std::string_view service);
 
 }
--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -1,6 +1,7 @@
 #include "coordination/FlowSteering.h"
 
 #include "coordination/FlowPlacement.h"
+#include "coordination/ServiceSplit.h"
 #include "state/HostDirectory.h"
 
 #include <algorithm>
@@ -143,6 +144,22 @@
     return true;
 }
 
+std::optional<std::string> FlowSteering::selectService(
+    const FlowRoute& route, const FlowKey& key, const Opening& opening, std::vector<SteeringAction>& actions) const
+{
+    const auto services = rankServices(route.target, key);
+    if (services.empty()) {
+        return std::nullopt;
+    }
+    const auto usable = std::find_if(services.begin(), services.end(),
+        [this](std::string_view service) { return this->placement.hasUsableAgent(service); });
+    const auto selected = usable == services.end() ? services.begin() : usable;
+    if (selected != services.begin() && opening.offers.empty()) {
+        actions.emplace_back(ReportSkippedService { key, std::string(services.front()), std::string(*selected) });
+    }
+    return std::string(*selected);
+}
+
 bool FlowSteering::place(const FlowKey& key, Opening& opening, TimePoint now, std::vector<SteeringAction>& actions)
 {
     if (!this->directory.hasRoutes()) {
@@ -153,16 +170,20 @@
     if (route == nullptr) {
         return this->refuse(key, opening, "no_route", now, actions);
     }
+    const auto service = this->selectService(*route, key, opening, actions);
+    if (!service) {
+        return this->refuse(key, opening, "no_service", now, actions);
+    }
     // Instead of a reset, after which the caller would have returned with a new flow, the flow gets one round of offers
     // on the terms of a new flow. Further rounds on these terms would displace flows that can still be in time.
     const auto age = opening.refusedRounds == 1 ? std::chrono::milliseconds(0) : opening.transmissions.age(now);
     auto urgency = FlowUrgency::InTime;
     auto limit = waitLimit(*route, urgency, age);
-    auto choice = this->placement.choose(route->service, urgency, opening.tried, now);
+    auto choice = this->placement.choose(*service, urgency, opening.tried, now);
     if (choice && (limit.count() < 0 || choice->expectedWait > limit)) {
         urgency = FlowUrgency::Late;
         limit = waitLimit(*route, urgency, age);
-        choice = this->placement.choose(route->service, urgency, opening.tried, now);
+        choice = this->placement.choose(*service, urgency, opening.tried, now);
     }
     if (!choice) {
         if (opening.tried.empty()) {
@@ -176,10 +197,10 @@
     }
     opening.waiting = false;
     opening.tried.push_back(choice->agent);
-    opening.offers.push_back({ choice->agent, now, std::nullopt, {} });
+    opening.offers.push_back({ choice->agent, serviceHash(*service), now, std::nullopt, {} });
     opening.deadline = now + verdictTimeout;
     this->placement.recordFlowSent(choice->agent);
-    actions.emplace_back(SteerPacket { choice->agent, SteeringPurpose::NewFlow, serviceHash(route->service), limit,
+    actions.emplace_back(SteerPacket { choice->agent, SteeringPurpose::NewFlow, serviceHash(*service), limit,
         route->priority, urgency, choice->slots, choice->expectedWait, choice->loadAge, opening.datagram });
     return true;
 }
@@ -197,7 +218,7 @@
     if (const FlowRoute* route = this->directory.route(key.service)) {
         const auto limit = waitLimit(*route, FlowUrgency::Late, opening.transmissions.age(now));
         actions.emplace_back(SteerPacket { opening.offers.back().agent, SteeringPurpose::NewFlow,
-            serviceHash(route->service), std::max(std::chrono::milliseconds(0), limit), route->priority,
+            opening.offers.back().service, std::max(std::chrono::milliseconds(0), limit), route->priority,
             FlowUrgency::Late, 0, {}, {}, datagram });
     }
 }
@@ -309,34 +330,50 @@
     if (!flow.opened) {
         markOpened(flow, now);
     }
-    // A route may have changed its service, but an open flow stays with its owner.
-    if (route != nullptr && (flow.service == 0 || flow.owners.empty())) {
-        flow.service = serviceHash(route->service);
-    }
     if (!flow.owners.empty()) {
         actions.emplace_back(SteerPacket { flow.owners.front(), SteeringPurpose::KnownFlow, flow.service, {}, 0,
             FlowUrgency::InTime, 0, {}, {}, datagram });
     } else if (route != nullptr) {
-        this->search(flow, route->service, datagram, now, actions);
+        this->search(key, flow, *route, datagram, now, actions);
     }
 }
 
-void FlowSteering::search(Flow& flow, const std::string& service, std::span<const std::uint8_t> datagram, TimePoint now,
-    std::vector<SteeringAction>& actions) const
+std::vector<Endpoint> FlowSteering::searchedAgents(
+    const FlowKey& key, const Flow& flow, const FlowRoute& route, TimePoint now) const
 {
-    if (!flow.searchedSince) {
-        flow.searchedSince = now;
-    }
     // A search at every agent costs as many packets as there are agents, so it is left to flows that another balancer
     // may have placed. Otherwise searches overload a slow link as soon as it delays the answers of the agents asked.
     const auto searched = now - *flow.searchedSince;
-    const bool unanswered = searched >= searchTimeout;
-    const bool onlyCandidates
-        = !flow.candidates.empty() && searched < (flow.candidatesComplete ? completeSearchTimeout : searchTimeout);
+    if (!flow.candidates.empty() && searched < (flow.candidatesComplete ? completeSearchTimeout : searchTimeout)) {
+        return flow.candidates;
+    }
+    // An earlier configuration may have sent the flow to a service that the route no longer names.
+    if (searched >= completeSearchTimeout) {
+        return this->placement.agents();
+    }
+    // The other balancer usually selected the same service, and another one if that had no usable agent.
+    std::vector<Endpoint> agents;
+    for (const std::string_view service : rankServices(route.target, key)) {
+        const auto next = this->placement.agentsOf(service);
+        agents.insert(agents.end(), next.begin(), next.end());
+        if (searched < searchTimeout && !agents.empty()) {
+            break;
+        }
+    }
+    return agents;
+}
+
+void FlowSteering::search(const FlowKey& key, Flow& flow, const FlowRoute& route,
+    std::span<const std::uint8_t> datagram, TimePoint now, std::vector<SteeringAction>& actions) const
+{
+    if (!flow.searchedSince) {
+        flow.searchedSince = now;
+    }
+    const bool unanswered = now - *flow.searchedSince >= searchTimeout;
     const auto purpose = unanswered ? SteeringPurpose::Recover : SteeringPurpose::Search;
-    for (const Endpoint& agent : onlyCandidates ? flow.candidates : this->placement.agentsOf(service)) {
-        actions.emplace_back(
-            SteerPacket { agent, purpose, flow.service, {}, 0, FlowUrgency::InTime, 0, {}, {}, datagram });
+    for (const Endpoint& agent : this->searchedAgents(key, flow, route, now)) {
+        actions.emplace_back(SteerPacket {
+            agent, purpose, this->placement.serviceOf(agent), {}, 0, FlowUrgency::InTime, 0, {}, {}, datagram });
     }
 }
 
@@ -357,13 +394,12 @@
     }
 }
 
-FlowSteering::Flow& FlowSteering::flowOf(const FlowKey& key, TimePoint now)
+FlowSteering::Flow& FlowSteering::flowOf(const FlowKey& key, const Endpoint& agent, TimePoint now)
 {
     Flow& flow = this->flows[key];
     flow.lastPacket = now;
-    const FlowRoute* route = this->directory.route(key.service);
-    if (flow.service == 0 && route != nullptr) {
-        flow.service = serviceHash(route->service);
+    if (const std::uint64_t service = this->placement.serviceOf(agent); service != 0) {
+        flow.service = service;
     }
     return flow;
 }
@@ -376,7 +412,7 @@
     if (open) {
         return; // late verdict on an earlier offer; the flow is already open, possibly at another agent
     }
-    Flow& flow = this->flowOf(key, now);
+    Flow& flow = this->flowOf(key, agent, now);
     if (std::find(flow.owners.begin(), flow.owners.end(), agent) == flow.owners.end()) {
         flow.owners.push_back(agent);
     }
@@ -395,7 +431,7 @@
 void FlowSteering::handleOwned(const Endpoint& agent, const FlowKey& key, TimePoint now)
 {
     this->openings.erase(key);
-    Flow& flow = this->flowOf(key, now);
+    Flow& flow = this->flowOf(key, agent, now);
     flow.owners.assign(1, agent);
     flow.opened = true;
     flow.opening.reset();
--- a/src/coordination/FlowSteering.h
+++ b/src/coordination/FlowSteering.h
@@ -54,6 +54,7 @@
 private:
     struct Offer {
         Endpoint agent;
+        std::uint64_t service { 0 }; // serviceHash()
         TimePoint sentAt;
         std::optional<FlowVerdict> verdict; // the last one
         TimePoint verdictAt;
@@ -79,7 +80,7 @@
         std::vector<Endpoint> candidates; // agents that this balancer offered the flow
         bool candidatesComplete { false }; // no other balancer can have offered the flow
         std::optional<TimePoint> searchedSince; // since when the owner of the open flow has been searched
-        std::uint64_t service { 0 }; // serviceHash(); 0: unknown
+        std::uint64_t service { 0 }; // serviceHash() of the owner's service
         TimePoint lastPacket;
         std::uint32_t lastAcknowledgement { 0 };
         bool opened { false }; // a packet other than the first has arrived
@@ -100,6 +101,9 @@
         const FlowPacket&, std::span<const std::uint8_t> datagram, TimePoint now, std::vector<SteeringAction>& actions);
     void handleLaterPacket(
         const FlowPacket&, std::span<const std::uint8_t> datagram, TimePoint now, std::vector<SteeringAction>& actions);
+    // Selects the service for a new flow; nothing if the route sends new flows to no service.
+    std::optional<std::string> selectService(
+        const FlowRoute&, const FlowKey&, const Opening&, std::vector<SteeringAction>& actions) const;
     // Returns whether to keep the opening.
     bool place(const FlowKey&, Opening&, TimePoint now, std::vector<SteeringAction>& actions);
     // Starts another round of offers. Returns whether to keep the opening.
@@ -116,11 +120,13 @@
     bool refuse(const FlowKey&, Opening&, std::string_view reason, TimePoint now, std::vector<SteeringAction>& actions);
     void handleAdmitted(const Endpoint& agent, const FlowKey&, TimePoint now);
     void handleOwned(const Endpoint& agent, const FlowKey&, TimePoint now);
-    Flow& flowOf(const FlowKey&, TimePoint now);
+    // Returns the flow, which the agent has admitted or owns.
+    Flow& flowOf(const FlowKey&, const Endpoint& agent, TimePoint now);
     static void markOpened(Flow&, TimePoint now);
     // Sends a packet of a flow without a known owner to the agents that may own it.
-    void search(Flow&, const std::string& service, std::span<const std::uint8_t> datagram, TimePoint now,
+    void search(const FlowKey&, Flow&, const FlowRoute&, std::span<const std::uint8_t> datagram, TimePoint now,
         std::vector<SteeringAction>& actions) const;
+    std::vector<Endpoint> searchedAgents(const FlowKey&, const Flow&, const FlowRoute&, TimePoint now) const;
     // Handles a verdict by which the agent does not own the flow or no longer owns it.
     void handleNotOwned(
         const Endpoint& agent, const FlowKey&, FlowVerdict, TimePoint now, std::vector<SteeringAction>& actions);
--- a/src/coordination/SteeringAction.h
+++ b/src/coordination/SteeringAction.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstdint>
 #include <span>
+#include <string>
 #include <string_view>
 #include <variant>
 
@@ -43,6 +44,14 @@
     OpeningHistory history;
 };
 
-using SteeringAction = std::variant<SteerPacket, SendReset, WithholdReset>;
+// The service that a weighted route selects for the flow has no agent that can take it, so that another service of the
+// route takes its share.
+struct ReportSkippedService {
+    FlowKey flow;
+    std::string selected;
+    std::string used;
+};
+
+using SteeringAction = std::variant<SteerPacket, SendReset, WithholdReset, ReportSkippedService>;
 
 }
--- a/src/protocol/RouteTable.h
+++ b/src/protocol/RouteTable.h
@@ -1,17 +1,17 @@
 #pragma once
 
 #include "protocol/Endpoint.h"
+#include "protocol/RouteTarget.h"
 
 #include <chrono>
 #include <cstdint>
 #include <map>
-#include <string>
 
 namespace chicoryferry {
 
-// The service that new flows to one address are routed to, and the properties of the requests in these flows.
+// The target of new flows to one address, and the properties of the requests in these flows.
 struct FlowRoute {
-    std::string service;
+    RouteTarget target;
     bool idempotent { false };
     std::chrono::milliseconds targetLatency { 100 };
     std::chrono::milliseconds timeout { 1000 };
--- a/src/state/DirectoryChange.h
+++ b/src/state/DirectoryChange.h
@@ -18,12 +18,18 @@
     HostEntry entry;
 };
 
+// An entry other than a backend server's could not be read. What was known before stays in force.
+struct EntryRefused {
+    std::string entry; // name for logs
+    std::string reason;
+};
+
 // A backend server's entry was removed, or its value does not describe a usable host (malformed).
 struct HostRemoved {
     std::string id;
     bool malformed { false };
 };
 
-using DirectoryChange = std::variant<RouteTableWritten, HostWritten, HostRemoved>;
+using DirectoryChange = std::variant<RouteTableWritten, HostWritten, HostRemoved, EntryRefused>;
 
 }
--- a/src/state/HostDirectory.cpp
+++ b/src/state/HostDirectory.cpp
@@ -40,6 +40,8 @@
     if (found == this->known.end()) {
         return removed.malformed ? Effect::RefusedMalformed : Effect::None;
     }
+    // A host whose own entry has become malformed is treated like one whose entry has gone: nothing says any longer
+    // that it is in use, and a running host writes a valid entry again.
     if (found->second.entry.draining) {
         this->known.erase(found);
         return Effect::HostsChanged;
@@ -48,7 +50,7 @@
     if (!found->second.missingSince) {
         found->second.missingSince = now;
     }
-    return Effect::None;
+    return removed.malformed ? Effect::RefusedMalformed : Effect::None;
 }
 
 void HostDirectory::applyRoutes(const RouteTable& next, TimePoint now)
@@ -74,6 +76,7 @@
                           },
                           [&](const HostWritten& written) { return this->applyHost(written.entry, now); },
                           [&](const HostRemoved& removed) { return this->applyRemoval(removed, now); },
+                          [](const EntryRefused&) { return Effect::RefusedMalformed; },
                       },
         change);
 }
--- a/test/integration/NodeProcessesTest.cpp
+++ b/test/integration/NodeProcessesTest.cpp
@@ -16,6 +16,7 @@
 #include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
+#include <nlohmann/json.hpp>
 #include <poll.h>
 #include <random>
 #include <string>
@@ -79,9 +80,7 @@
         this->writeSettings("balancer", this->balancerIp, "grace-s=3", "");
         this->agent = std::make_unique<ChildProcess>(
             "node-agent", std::vector<std::string> { NODE_BINARY, "agent", "--settings", this->path("agent") });
-        this->balancer = std::make_unique<ChildProcess>("node-balancer",
-            std::vector<std::string> { NODE_BINARY, "balancer", "--settings", this->path("balancer") });
-        this->balancer->waitForEvent("ready");
+        this->startBalancer();
         this->agent->waitForEvent("started");
     }
 
@@ -92,6 +91,53 @@
         std::filesystem::remove_all(this->directory);
     }
 
+    // Starts the balancer, or replaces it by a new process.
+    void startBalancer()
+    {
+        this->balancer.reset();
+        this->balancer = std::make_unique<ChildProcess>("node-balancer",
+            std::vector<std::string> { NODE_BINARY, "balancer", "--settings", this->path("balancer") });
+        this->balancer->waitForEvent("ready");
+    }
+
+    // Writes a configuration with a route to the address 198.18.0.NUMBER; `target` is its member that names services.
+    void writeConfiguration(std::uint64_t version, int number, const std::string& target)
+    {
+        this->store.write("op/config",
+            fmt::format(R"({{"version":{},"routes":[{{"name":"r","hostname":"198.18.0.{}","prefix":"/443/",)"
+                        R"("route-type":"safe","timeout-ms":1000,"target-latency-ms":100,"priority":1,{}}}],)"
+                        R"("services":[]}})",
+                version, number, target));
+    }
+
+    // Waits for a line of the balancer's log with the event and the field's value.
+    bool balancerLogs(const std::string& event, const std::string& field, const nlohmann::json& value)
+    {
+        const auto limit = std::chrono::steady_clock::now() + seconds(10);
+        while (std::chrono::steady_clock::now() < limit) {
+            for (const auto& line : this->balancer->events(event)) {
+                if (line.value(field, nlohmann::json()) == value) {
+                    return true;
+                }
+            }
+            usleep(10000);
+        }
+        return false;
+    }
+
+    // Opens a flow to 198.18.0.NUMBER at the backend server and resets it again.
+    void checkServed(int number)
+    {
+        const Endpoint to { parseAddress(fmt::format("198.18.0.{}", number)), 443 };
+        const Endpoint from { this->callerIp, this->nextPort++ };
+        this->checkForwarded(this->callerSocket, this->balancerPackets, this->hostSocket,
+            makePacket(from, to, 1, 0, flagSyn, {}, this->random));
+        this->checkForwarded(this->hostSocket, this->outbound, this->callerSocket,
+            makePacket(to, from, 100, 2, flagSyn | flagAcknowledge, {}, this->random));
+        this->checkForwarded(this->callerSocket, this->balancerPackets, this->hostSocket,
+            makePacket(from, to, 2, 101, flagReset | flagAcknowledge, {}, this->random));
+    }
+
     SmallFleet(const SmallFleet&) = delete;
     SmallFleet& operator=(const SmallFleet&) = delete;
 
@@ -242,3 +288,50 @@
     fleet.store.setDown(false);
     fleet.balancer->waitForEvent("store_regained");
 }
+
+TEST_CASE("odd entries that stay in the store keep nobody from following it [LOST]")
+{
+    SmallFleet fleet;
+    // Seen before the fix: one of these made every reader give up the whole answer, again with each call.
+    fleet.store.writeItem("odd-number", "7");
+    fleet.store.writeItem("odd-range", R"({"key":"servers/range","value":"eA==","revision":1e400})");
+    fleet.store.writeItem("odd-key", R"({"key":null,"value":null})");
+    fleet.store.write("servers/nested", std::string(300000, '[') + std::string(300000, ']'));
+    fleet.store.write("servers/port",
+        R"({"service":"job","address":"10.128.0.9:70000","zone":"a","slots":2,"state":"ready","born":1})");
+    fleet.store.write("servers/born",
+        R"({"service":"job","address":"10.128.0.9:80","zone":"a","slots":2,"state":"ready","born":18446744073709551615})");
+    for (const char* entry : { "without key", "nested", "port", "born" }) {
+        CAPTURE(entry);
+        CHECK(fleet.balancerLogs("change_refused", "entry", entry));
+    }
+    // An unreadable configuration stays out of force, and hosts of the same answer are taken.
+    fleet.writeConfiguration(5, 1, R"("target":"job")");
+    fleet.store.write("servers/i-2",
+        R"({"service":"drawing","address":"127.0.0.1:9","zone":"a","slots":2,"state":"ready","born":1})");
+    CHECK(fleet.balancerLogs("change_refused", "entry", "configuration"));
+    CHECK(fleet.balancerLogs("host_changed", "host", "i-2"));
+    fleet.checkServed(1);
+    // A later configuration is followed by the running balancer and by one that starts now.
+    fleet.writeConfiguration(6, 2, R"("service":"job")");
+    CHECK(fleet.balancerLogs("configuration_in_force", "configuration", 6));
+    fleet.checkServed(2);
+    fleet.startBalancer();
+    CHECK(fleet.balancerLogs("configuration_in_force", "configuration", 6));
+    fleet.checkServed(2);
+    CHECK(fleet.balancer->events("store_lost").empty());
+    CHECK(fleet.agent->running());
+}
+
+TEST_CASE("a weighted route is served, and a service without a host leaves its share to the others [CONFIG]")
+{
+    SmallFleet fleet;
+    fleet.writeConfiguration(
+        4, 3, R"("weighted-backends":[{"service":"job","weight":50},{"service":"drawing","weight":50}])");
+    CHECK(fleet.balancerLogs("configuration_in_force", "configuration", 4));
+    constexpr int flows = 20;
+    for (int flow = 0; flow < flows; ++flow) {
+        fleet.checkServed(3);
+    }
+    CHECK(fleet.balancerLogs("service_skipped", "selected", "drawing"));
+}
--- a/test/integration/StoreStandin.cpp
+++ b/test/integration/StoreStandin.cpp
@@ -26,8 +26,9 @@
 int answer(mg_connection* connection, int status, const std::string& body)
 {
     mg_printf(connection,
-        "HTTP/1.1 %d Status\r\nContent-Type: application/json\r\nContent-Length: %zu\r\nConnection: close\r\n\r\n%s",
-        status, body.size(), body.c_str());
+        "HTTP/1.1 %d Status\r\nContent-Type: application/json\r\nContent-Length: %zu\r\nConnection: close\r\n\r\n",
+        status, body.size());
+    mg_write(connection, body.data(), body.size());
     return status;
 }
 
@@ -64,9 +65,16 @@
         std::string encoded;
         google::protobuf::Base64Escape(value, &encoded);
         const std::lock_guard lock(this->mutex);
-        ++this->revision;
-        this->items[key] = { { "key", key }, { "value", encoded }, { "revision", this->revision },
-            { "created-rev", this->revision }, { "lease", 0 } };
+        const json item { { "key", key }, { "value", encoded }, { "revision", this->revision + 1 },
+            { "created-rev", this->revision + 1 }, { "lease", 0 } };
+        this->items[key] = { ++this->revision, item.dump() };
+        this->changed.notify_all();
+    }
+
+    void writeItem(const std::string& key, const std::string& text)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->items[key] = { ++this->revision, text };
         this->changed.notify_all();
     }
 
@@ -85,8 +93,9 @@
         if (self.down) {
             return answer(connection, 503, "{}");
         }
-        json body { { "items", self.itemsAfter(0) }, { "truncated", false }, { "store-revision", self.revision } };
-        return answer(connection, 200, body.dump());
+        return answer(connection, 200,
+            R"({"items":)" + self.itemsAfter(0) + R"(,"truncated":false,"store-revision":)"
+                + std::to_string(self.revision) + "}");
     }
 
     static int handleWatch(mg_connection* connection, void* data)
@@ -100,24 +109,30 @@
         if (self.down) {
             return answer(connection, 503, "{}");
         }
-        json body { { "events", self.itemsAfter(after) }, { "store-revision", self.revision } };
-        return answer(connection, 200, body.dump());
+        return answer(connection, 200,
+            R"({"events":)" + self.itemsAfter(after) + R"(,"store-revision":)" + std::to_string(self.revision) + "}");
     }
 
-    json itemsAfter(std::uint64_t after) const
+    struct Item {
+        std::uint64_t revision { 0 };
+        std::string text;
+    };
+
+    // Returns the text of a JSON array.
+    std::string itemsAfter(std::uint64_t after) const
     {
-        json list = json::array();
+        std::string list = "[";
         for (const auto& [key, item] : this->items) {
-            if (item.at("revision").get<std::uint64_t>() > after) {
-                list.push_back(item);
+            if (item.revision > after) {
+                list += (list.size() > 1 ? "," : "") + item.text;
             }
         }
-        return list;
+        return list + "]";
     }
 
     std::mutex mutex;
     std::condition_variable changed;
-    std::map<std::string, json> items;
+    std::map<std::string, Item> items;
     std::uint64_t revision { 0 };
     bool down { false };
     mg_context* server { nullptr };
@@ -132,6 +147,11 @@
 
 void StoreStandin::write(const std::string& key, const std::string& value) { this->implementation->write(key, value); }
 
+void StoreStandin::writeItem(const std::string& key, const std::string& text)
+{
+    this->implementation->writeItem(key, text);
+}
+
 void StoreStandin::setDown(bool down) { this->implementation->setDown(down); }
 
 }
--- a/test/integration/StoreStandin.h
+++ b/test/integration/StoreStandin.h
@@ -19,6 +19,9 @@
 
     void write(const std::string& key, const std::string& value);
 
+    // Answers with the text in place of the item of the key; the text need not be valid JSON.
+    void writeItem(const std::string& key, const std::string& text);
+
     // While down, every call, including pending watches, is answered with 503.
     void setDown(bool);
 
--- a/test/unit/HostDirectoryTest.cpp
+++ b/test/unit/HostDirectoryTest.cpp
@@ -13,7 +13,7 @@
 {
     RouteTable table;
     table.version = version;
-    table.routes[{ 1, 443 }].service = service;
+    table.routes[{ 1, 443 }].target = service;
     return { table };
 }
 
@@ -32,7 +32,7 @@
     CHECK(directory.apply(routes(6, "drawing"), start) == HostDirectory::Effect::RefusedOlder);
     CHECK(directory.apply(routes(7, "drawing"), start) == HostDirectory::Effect::RefusedOlder);
     CHECK(directory.routes().version == 7);
-    CHECK(directory.route({ 1, 443 })->service == "job");
+    CHECK(directory.route({ 1, 443 })->target == RouteTarget("job"));
     CHECK(directory.route({ 1, 444 }) == nullptr);
 }
 
