Bound the load reports and hellos of a large fleet

Change: ReportRecipients sends changes at once to the eight balancers that offered the agent a flow most recently; the others learn the load with verdicts and answers to hellos. HelloInterval spaces hellos to agents to 256 a second a balancer, between 250 ms and 1 s, and the age from which a load is unknown follows. Fleets of up to 8 balancers and 64 agents behave as before.

--- a/src/app/AgentNode.cpp
+++ b/src/app/AgentNode.cpp
@@ -34,8 +34,8 @@
 constexpr std::chrono::seconds balancerRetention { 30 };
 
 // A report lists other balancers that were heard within this time. Balancers thereby discover each other through agents
-// even while the store and the seeds are unreachable.
-constexpr std::chrono::milliseconds balancerLiveLimit { 1000 };
+// even while the store and the seeds are unreachable. Balancers announce themselves at least once a second.
+constexpr std::chrono::milliseconds balancerLiveLimit { 2500 };
 constexpr std::size_t maximumListedBalancers = 8;
 
 // Minimum time between SIGTERM and exit, so that balancers learn that this agent is leaving even if one report is lost.
@@ -140,6 +140,7 @@
         return;
     }
     if (steered.purpose == SteeringPurpose::NewFlow && packet->isFirst()) {
+        this->recipients.recordOffer(balancer, now);
         this->admission.handleNewFlow({ balancer, steered.waitLimit, steered.priority, steered.urgency, steered.slots },
             steered.service, *packet, steered.datagram, now, this->actions);
     } else {
@@ -233,7 +234,8 @@
 void AgentNode::sendReports(TimePoint now)
 {
     for (auto& [address, balancer] : this->balancers) {
-        const bool changed = balancer.reportedOccupied != this->admission.occupied();
+        const bool changed
+            = balancer.reportedOccupied != this->admission.occupied() && this->recipients.contains(address);
         if (!balancer.verdicts.empty() || balancer.reportDue
             || (changed && now - balancer.lastReport >= reportInterval)) {
             this->sendReport(address, balancer, now);
--- a/src/app/AgentNode.h
+++ b/src/app/AgentNode.h
@@ -5,6 +5,7 @@
 #include "app/SteeringMessages.h"
 #include "coordination/AgentAction.h"
 #include "coordination/HostAdmission.h"
+#include "coordination/ReportRecipients.h"
 #include "support/EventLog.h"
 #include "support/Metrics.h"
 #include "transport/EventLoop.h"
@@ -70,6 +71,7 @@
     SteeringMessages messages;
     std::vector<AgentAction> actions;
     std::map<Endpoint, Balancer> balancers;
+    ReportRecipients recipients;
     TimePoint nextTick;
     TimePoint nextReports;
     TimePoint stopSince;
--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -1,6 +1,7 @@
 #include "app/BalancerNode.h"
 
 #include "app/DirectorySnapshot.h"
+#include "coordination/HelloInterval.h"
 #include "platform/PacketFormat.h"
 #include "platform/Readiness.h"
 #include "platform/SettingsFile.h"
@@ -23,8 +24,7 @@
 // Maximum number of receive batches per call, so that timers and the other socket are served under load.
 constexpr int maximumBatchesPerCall = 8;
 
-// Agents answer each hello with a report. The interval keeps load reports well below the age of 900 ms from which a
-// load counts as unknown.
+// Interval of hellos to other balancers. Those to agents have a longer one in large fleets.
 constexpr milliseconds helloInterval { 250 };
 
 // Maximum number of balancers listed in a hello, to keep it small. A peer learns of all balancers from several others.
@@ -144,6 +144,14 @@
     }
 }
 
+bool BalancerNode::hasNewAgents(const std::vector<FlowPlacement::Agent>& agents) const
+{
+    const auto known = this->placement.agents();
+    return std::any_of(agents.begin(), agents.end(), [&](const FlowPlacement::Agent& agent) {
+        return std::find(known.begin(), known.end(), agent.address) == known.end();
+    });
+}
+
 void BalancerNode::onDirectoryChange()
 {
     const auto now = std::chrono::steady_clock::now();
@@ -153,6 +161,9 @@
         const Endpoint address { host->entry.address.address, this->settings.packetAddress.port };
         agents.push_back({ address, host->entry, host->learnedAt });
     }
+    if (this->hasNewAgents(agents)) {
+        this->nextAgentHello = now; // asks for their load
+    }
     this->placement.setAgents(agents, now);
     this->configurationVersion = this->directory.routes().version;
     const bool usable = this->directory.hasRoutes() && !agents.empty();
@@ -309,8 +320,12 @@
         message.balancers.push_back(peer.address);
     }
     const auto hello = this->messages.encode(message);
-    for (const Endpoint& agent : this->placement.agents()) {
-        this->peerSocket.queue(agent, 0, hello);
+    if (now >= this->nextAgentHello) {
+        const auto agents = this->placement.agents();
+        this->nextAgentHello = now + agentHelloInterval(agents.size());
+        for (const Endpoint& agent : agents) {
+            this->peerSocket.queue(agent, 0, hello);
+        }
     }
     for (const Endpoint& peer : this->peers.helloTargets(now)) {
         this->peerSocket.queue(peer, 0, hello);
--- a/src/app/BalancerNode.h
+++ b/src/app/BalancerNode.h
@@ -51,6 +51,7 @@
     void detectPause(std::chrono::nanoseconds now);
     void tick(TimePoint now);
     void sendHellos(TimePoint now);
+    bool hasNewAgents(const std::vector<FlowPlacement::Agent>&) const;
     void handleHello(const Endpoint& peer, const HelloMessage&, TimePoint now);
     void learnPeers(const std::vector<std::uint32_t>& addresses, TimePoint now);
     void synchronizeWithPeers(TimePoint now);
@@ -78,6 +79,7 @@
     SteeringMessages messages;
     std::vector<SteeringAction> actions;
     TimePoint nextHello;
+    TimePoint nextAgentHello;
     TimePoint lastPacket;
     TimePoint stopSince;
     TimePoint nextExpiry;
--- a/src/coordination/FlowPlacement.cpp
+++ b/src/coordination/FlowPlacement.cpp
@@ -1,5 +1,7 @@
 #include "coordination/FlowPlacement.h"
 
+#include "coordination/HelloInterval.h"
+
 #include <algorithm>
 #include <xxhash.h>
 
@@ -25,9 +27,6 @@
 constexpr double unknownCostMs = 200.0;
 constexpr double silentCostMs = 10000.0;
 
-// Agents report at least every 250 ms; after three missed reports the load is considered unknown.
-constexpr std::chrono::milliseconds reportLifetime { 900 };
-
 double milliseconds(std::chrono::microseconds duration) { return static_cast<double>(duration.count()) / 1000.0; }
 
 }
@@ -80,7 +79,7 @@
 
 double FlowPlacement::cost(const State& state, FlowUrgency urgency, TimePoint now, std::chrono::microseconds& wait)
 {
-    const bool known = state.reported && now - state.reportedAt < reportLifetime;
+    const bool known = state.reported && now - state.reportedAt < loadReportLifetime(this->states.size());
     AgentLoad load = known ? state.load : AgentLoad {};
     load.slots = std::max(1U, state.host.slots);
     wait = expectedWait(load, state.unanswered, urgency);
