Reset open flows that no backend server has, and widen searches without the caller

A search was widened only by the caller's next retransmission, up to 1.6 s later.

Change: agents answer a recovery also if their backend server does not hold the flow. When each agent of a completely read directory has done so, the balancer resets the flow (not_found). The packet with which a search begins is kept for 150 ms (at most 512) and sent to every agent if nobody has answered.

Tests: FlowSteeringSearchTest and HostAdmissionTest; the new cases fail without the change (no reset, no second packet).

--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -50,14 +50,18 @@
 // slot becomes free about twice meanwhile, because requests take about 20 ms on average.
 constexpr std::chrono::milliseconds firstRoundDelay { 40 };
 
-// A search without an answer for this time is widened. The time is below the 200 ms after which the caller repeats a
-// packet, so that the repetition is sent to more agents.
+// A search without an answer for this time is widened: its first packet is sent to more agents. The time is below the
+// 200 ms after which the caller repeats a packet, so that a repetition is sent to them, too.
 constexpr std::chrono::milliseconds searchTimeout { 150 };
 
 // The same for a flow that only the agents asked can have, as far as this balancer knows: its first packet may have
 // been queued here for longer than the caller waits before it retransmits. The users' rules allow 2 s.
 constexpr std::chrono::milliseconds completeSearchTimeout { 1000 };
 
+// Bounds the memory used for packets of flows that are searched; each takes up to 1,300 bytes. A further search is
+// widened when its caller repeats the packet, which takes up to 1.6 s.
+constexpr std::size_t maxPendingSearches = 512;
+
 // Covers retransmissions after both endpoints have finished.
 constexpr std::chrono::milliseconds closedFlowLifetime { 2000 };
 
@@ -347,27 +351,46 @@
     if (!flow.candidates.empty() && searched < (flow.candidatesComplete ? completeSearchTimeout : searchTimeout)) {
         return flow.candidates;
     }
-    // An earlier configuration may have sent the flow to a service that the route no longer names.
-    if (searched >= completeSearchTimeout) {
-        return this->placement.agents();
+    // The other balancer usually selected the same service. It selected another one if that had no usable agent, or
+    // under an earlier configuration.
+    const auto services = rankServices(route.target, key);
+    return searched >= searchTimeout || services.empty() ? this->placement.agents()
+                                                         : this->placement.agentsOf(services.front());
+}
+
+void FlowSteering::startSearch(const FlowKey& key, Flow& flow, std::span<const std::uint8_t> datagram, TimePoint now)
+{
+    flow.searchedSince = now;
+    if (this->pendingSearches.size() < maxPendingSearches) {
+        flow.searchedDatagram.assign(datagram.begin(), datagram.end());
+        this->pendingSearches.push_back({ now + searchTimeout, key });
     }
-    // The other balancer usually selected the same service, and another one if that had no usable agent.
-    std::vector<Endpoint> agents;
-    for (const std::string_view service : rankServices(route.target, key)) {
-        const auto next = this->placement.agentsOf(service);
-        agents.insert(agents.end(), next.begin(), next.end());
-        if (searched < searchTimeout && !agents.empty()) {
-            break;
+}
+
+void FlowSteering::widenSearches(TimePoint now, std::vector<SteeringAction>& actions)
+{
+    this->widenedDatagrams.clear();
+    while (!this->pendingSearches.empty() && this->pendingSearches.front().due <= now) {
+        const FlowKey key = this->pendingSearches.front().flow;
+        this->pendingSearches.pop_front();
+        const auto flow = this->flows.find(key);
+        if (flow == this->flows.end() || flow->second.searchedDatagram.empty()) {
+            continue;
+        }
+        const auto& datagram = this->widenedDatagrams.emplace_back(std::move(flow->second.searchedDatagram));
+        flow->second.searchedDatagram.clear();
+        const FlowRoute* route = this->directory.route(key.service);
+        if (route != nullptr && flow->second.searchedSince && flow->second.owners.empty()) {
+            this->search(key, flow->second, *route, datagram, now, actions);
         }
     }
-    return agents;
 }
 
 void FlowSteering::search(const FlowKey& key, Flow& flow, const FlowRoute& route,
-    std::span<const std::uint8_t> datagram, TimePoint now, std::vector<SteeringAction>& actions) const
+    std::span<const std::uint8_t> datagram, TimePoint now, std::vector<SteeringAction>& actions)
 {
     if (!flow.searchedSince) {
-        flow.searchedSince = now;
+        this->startSearch(key, flow, datagram, now);
     }
     const bool unanswered = now - *flow.searchedSince >= searchTimeout;
     const auto purpose = unanswered ? SteeringPurpose::Recover : SteeringPurpose::Search;
@@ -454,12 +477,18 @@
         return;
     }
     const auto found = this->flows.find(key);
+    if (found != this->flows.end() && verdict == FlowVerdict::NotFound && found->second.searchedSince
+        && found->second.owners.empty()) {
+        this->handleNotFound(agent, found, now, actions);
+        return;
+    }
     if (found == this->flows.end() || std::erase(found->second.owners, agent) == 0 || !found->second.owners.empty()) {
         return;
     }
     Flow& flow = found->second;
     flow.candidates.clear();
     flow.searchedSince.reset();
+    flow.agentsWithout.clear();
     if (flow.opening && !flow.opened) {
         // The agent admitted the flow, but its backend server has not answered: another agent may take it.
         const auto placed = this->openings.insert_or_assign(key, std::move(*flow.opening)).first;
@@ -475,6 +504,28 @@
     }
 }
 
+void FlowSteering::handleNotFound(
+    const Endpoint& agent, Flows::iterator found, TimePoint now, std::vector<SteeringAction>& actions)
+{
+    Flow& flow = found->second;
+    if (std::find(flow.agentsWithout.begin(), flow.agentsWithout.end(), agent) == flow.agentsWithout.end()) {
+        flow.agentsWithout.push_back(agent);
+    }
+    // The flow may be at a host that this process has not read yet, or that another balancer has learned of just now.
+    if (!this->directory.isComplete() || now - *flow.searchedSince < searchTimeout) {
+        return;
+    }
+    const auto agents = this->placement.agents();
+    const bool nowhere = std::all_of(agents.begin(), agents.end(), [&](const Endpoint& known) {
+        return std::find(flow.agentsWithout.begin(), flow.agentsWithout.end(), known) != flow.agentsWithout.end();
+    });
+    if (nowhere) {
+        // Without the reset, the caller would wait for an answer until its deadline.
+        actions.emplace_back(SendReset { found->first, flow.lastAcknowledgement, "not_found" });
+        this->flows.erase(found);
+    }
+}
+
 void FlowSteering::handleVerdict(
     const Endpoint& agent, const FlowKey& key, FlowVerdict verdict, TimePoint now, std::vector<SteeringAction>& actions)
 {
@@ -515,6 +566,7 @@
         }
         opening = keep ? std::next(opening) : this->openings.erase(opening);
     }
+    this->widenSearches(now, actions);
     if (now < this->nextSweep) {
         return;
     }
@@ -528,7 +580,8 @@
 
 FlowSteering::TimePoint FlowSteering::nextTick() const
 {
-    TimePoint next = this->nextSweep;
+    TimePoint next = this->pendingSearches.empty() ? this->nextSweep
+                                                   : std::min(this->nextSweep, this->pendingSearches.front().due);
     for (const auto& [key, opening] : this->openings) {
         next = std::min(next, opening.deadline);
     }
--- a/src/coordination/FlowSteering.h
+++ b/src/coordination/FlowSteering.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <span>
 #include <string>
@@ -80,6 +81,8 @@
         std::vector<Endpoint> candidates; // agents that this balancer offered the flow
         bool candidatesComplete { false }; // no other balancer can have offered the flow
         std::optional<TimePoint> searchedSince; // since when the owner of the open flow has been searched
+        std::vector<Endpoint> agentsWithout; // agents that have answered the search that they do not have the flow
+        std::vector<std::uint8_t> searchedDatagram; // the packet with which the search began, until it is sent again
         std::uint64_t service { 0 }; // serviceHash() of the owner's service
         TimePoint lastPacket;
         std::uint32_t lastAcknowledgement { 0 };
@@ -91,6 +94,12 @@
     using Flows = std::unordered_map<FlowKey, Flow, FlowKeyHash>;
     using Openings = std::unordered_map<FlowKey, Opening, FlowKeyHash>;
 
+    // A search that is widened at a time, if the owner has not been found by then.
+    struct PendingSearch {
+        TimePoint due;
+        FlowKey flow;
+    };
+
     // Sends a retransmission to the agent whose verdict is missing. A single packet does not add to an overload.
     void askLastAgentAgain(const FlowKey&, const Opening&, std::span<const std::uint8_t> datagram, TimePoint now,
         std::vector<SteeringAction>& actions) const;
@@ -125,17 +134,25 @@
     static void markOpened(Flow&, TimePoint now);
     // Sends a packet of a flow without a known owner to the agents that may own it.
     void search(const FlowKey&, Flow&, const FlowRoute&, std::span<const std::uint8_t> datagram, TimePoint now,
-        std::vector<SteeringAction>& actions) const;
+        std::vector<SteeringAction>& actions);
+    // Keeps the packet with which a search begins, to send it to more agents if none answers.
+    void startSearch(const FlowKey&, Flow&, std::span<const std::uint8_t> datagram, TimePoint now);
+    // Widens searches that no agent has answered.
+    void widenSearches(TimePoint now, std::vector<SteeringAction>& actions);
     std::vector<Endpoint> searchedAgents(const FlowKey&, const Flow&, const FlowRoute&, TimePoint now) const;
     // Handles a verdict by which the agent does not own the flow or no longer owns it.
     void handleNotOwned(
         const Endpoint& agent, const FlowKey&, FlowVerdict, TimePoint now, std::vector<SteeringAction>& actions);
+    // Records that the agent does not have a flow that is searched. Resets the flow if no agent has it.
+    void handleNotFound(const Endpoint& agent, Flows::iterator, TimePoint now, std::vector<SteeringAction>& actions);
     void placeOrErase(Openings::iterator, TimePoint now, std::vector<SteeringAction>& actions);
 
     const HostDirectory& directory;
     FlowPlacement& placement;
     Flows flows;
     Openings openings;
+    std::deque<PendingSearch> pendingSearches; // in order of time
+    std::vector<std::vector<std::uint8_t>> widenedDatagrams; // keeps those alive that the last actions refer to
     TimePoint nextSweep;
 };
 
--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -222,14 +222,14 @@
     const auto declined = this->declinedFlows.find(key);
     if (declined != this->declinedFlows.end()) {
         declined->second = now;
-        if (purpose == SteeringPurpose::KnownFlow) {
+        if (purpose != SteeringPurpose::Search) {
             actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::NotFound, {}, {} });
         }
         return;
     }
     // If the agent started less than flowLifetime ago, its backend server may hold flows from before the start.
     if (now - this->startedAt > this->flowLifetime) {
-        if (purpose == SteeringPurpose::KnownFlow) {
+        if (purpose != SteeringPurpose::Search) {
             actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::NotFound, {}, {} });
         }
         return;
@@ -237,7 +237,7 @@
     if (purpose == SteeringPurpose::Search) {
         return; // the owner answers; if it does not, the balancer sends the next packet to recover the flow
     }
-    this->tentativeDeliveries.insert_or_assign(key, TentativeDelivery { balancer, purpose, now });
+    this->tentativeDeliveries.insert_or_assign(key, TentativeDelivery { balancer, now });
     actions.emplace_back(DeliverToBackendServer { datagram });
 }
 
@@ -330,9 +330,7 @@
         // The flow is held by another agent's backend server or by none.
         if (const auto delivery = this->tentativeDeliveries.extract(key)) {
             actions.emplace_back(ReportReturnedPacket { key, false });
-            if (delivery.mapped().purpose == SteeringPurpose::KnownFlow) {
-                actions.emplace_back(SendVerdict { delivery.mapped().balancer, key, FlowVerdict::NotFound, {}, {} });
-            }
+            actions.emplace_back(SendVerdict { delivery.mapped().balancer, key, FlowVerdict::NotFound, {}, {} });
         }
         return;
     }
--- a/src/coordination/HostAdmission.h
+++ b/src/coordination/HostAdmission.h
@@ -92,7 +92,6 @@
     // A packet of an unknown flow that was delivered because the backend server may hold the flow.
     struct TentativeDelivery {
         Endpoint balancer;
-        SteeringPurpose purpose { SteeringPurpose::KnownFlow };
         TimePoint since;
     };
 
--- a/src/state/HostDirectory.cpp
+++ b/src/state/HostDirectory.cpp
@@ -96,6 +96,7 @@
         changed = this->applyRemoval({ id, false }, now) == Effect::HostsChanged || changed;
     }
     this->listed.clear();
+    this->complete = true;
     return changed;
 }
 
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -44,6 +44,9 @@
     // Returns whether hosts were removed.
     bool endListing(TimePoint now);
 
+    // Whether the whole store has been read once, so that every host with an entry is known.
+    bool isComplete() const { return this->complete; }
+
     // Removes hosts that have been missing for at least missingHostTimeout, and forgets routes that were removed more
     // than removedRouteRetention ago. Returns whether hosts were removed.
     bool expire(TimePoint now);
@@ -78,6 +81,7 @@
     std::map<Endpoint, TimePoint> removedRoutes; // with the time of their removal
     std::map<std::string, KnownHost> known;
     std::set<std::string> listed;
+    bool complete { false };
 };
 
 }
--- a/test/unit/FleetSimulation.cpp
+++ b/test/unit/FleetSimulation.cpp
@@ -150,7 +150,9 @@
     table.routes[serviceAddress]
         = { serviceName, true, std::chrono::duration_cast<milliseconds>(this->options.targetLatency),
               std::chrono::duration_cast<milliseconds>(this->options.budget), 1 };
+    balancer.directory->beginListing();
     balancer.directory->apply(RouteTableWritten { table }, this->now);
+    balancer.directory->endListing(this->now);
     std::vector<FlowPlacement::Agent> agents;
     for (std::size_t host = 0; host < this->hosts.size(); ++host) {
         const Endpoint address { firstHostAddress + static_cast<std::uint32_t>(host), peerPort };
--- a/test/unit/FlowSteeringSearchTest.cpp
+++ b/test/unit/FlowSteeringSearchTest.cpp
@@ -118,3 +118,87 @@
     REQUIRE(balancer.asked() == std::vector { owner });
     CHECK(std::get<SteerPacket>(balancer.actions.back()).service == serviceHash("job"));
 }
+
+// Guards against callers that wait for an answer until their deadline on a flow that no backend server has any more,
+// after all machines lost power (seen on kpzk-rounds, trouble-2: 728 attempts).
+TEST_CASE("an open flow that no agent has is reset")
+{
+    SteeringFixture balancer { 3 };
+    balancer.directory.beginListing();
+    balancer.directory.endListing(balancer.start);
+    balancer.sendLater();
+    balancer.sendLater(milliseconds(200));
+    REQUIRE(balancer.asked().size() == 3);
+    balancer.receiveVerdict({ 1, 7000 }, FlowVerdict::NotFound, milliseconds(202));
+    balancer.receiveVerdict({ 2, 7000 }, FlowVerdict::NotFound, milliseconds(202));
+    balancer.receiveVerdict({ 2, 7000 }, FlowVerdict::NotFound, milliseconds(203));
+    CHECK_FALSE(balancer.resets());
+    SUBCASE("every agent has answered")
+    {
+        balancer.receiveVerdict({ 3, 7000 }, FlowVerdict::NotFound, milliseconds(203));
+        CHECK(balancer.resets());
+        CHECK(balancer.steering.flowCount() == 0);
+    }
+    SUBCASE("the last agent has the flow")
+    {
+        balancer.receiveVerdict({ 3, 7000 }, FlowVerdict::Owned, milliseconds(203));
+        CHECK_FALSE(balancer.resets());
+        balancer.receiveVerdict({ 1, 7000 }, FlowVerdict::NotFound, milliseconds(204));
+        CHECK_FALSE(balancer.resets());
+    }
+    SUBCASE("a host joins before the last agent answers")
+    {
+        std::vector<FlowPlacement::Agent> agents;
+        for (std::uint32_t number = 1; number <= 4; ++number) {
+            const Endpoint address { number, 7000 };
+            agents.push_back(
+                { address, { std::to_string(number), "job", address, "zone", 2, false, {}, 0 }, balancer.start });
+        }
+        balancer.placement.setAgents(agents, balancer.start);
+        balancer.receiveVerdict({ 3, 7000 }, FlowVerdict::NotFound, milliseconds(203));
+        CHECK_FALSE(balancer.resets());
+    }
+    SUBCASE("the last agent answers late, after the caller has repeated its packet")
+    {
+        balancer.sendLater(milliseconds(600));
+        balancer.receiveVerdict({ 3, 7000 }, FlowVerdict::NotFound, milliseconds(602));
+        CHECK(balancer.resets());
+    }
+}
+
+// Guards against FLOW: a balancer that has not read every host yet takes a flow at an unread host for lost.
+TEST_CASE("an open flow is not reset before the whole store has been read")
+{
+    SteeringFixture balancer { 2 };
+    balancer.sendLater();
+    balancer.sendLater(milliseconds(200));
+    balancer.receiveVerdict({ 1, 7000 }, FlowVerdict::NotFound, milliseconds(202));
+    balancer.receiveVerdict({ 2, 7000 }, FlowVerdict::NotFound, milliseconds(202));
+    CHECK_FALSE(balancer.resets());
+}
+
+// Guards against callers that wait up to 1.6 s for their own next retransmission before a search is widened.
+TEST_CASE("a search without an answer is widened without another packet of the caller, once")
+{
+    SteeringFixture balancer { 3 };
+    balancer.tick({});
+    balancer.sendLater();
+    CHECK(balancer.steering.nextTick() == balancer.start + milliseconds(150));
+    balancer.tick(milliseconds(149));
+    CHECK(balancer.asked().empty());
+    SUBCASE("no agent has answered")
+    {
+        balancer.tick(milliseconds(150));
+        CHECK(balancer.asked().size() == 3);
+        CHECK(std::get<SteerPacket>(balancer.actions.back()).purpose == SteeringPurpose::Recover);
+        CHECK(std::get<SteerPacket>(balancer.actions.back()).datagram.size() == 4);
+        balancer.tick(milliseconds(400));
+        CHECK(balancer.asked().empty());
+    }
+    SUBCASE("the owner has answered")
+    {
+        balancer.receiveVerdict({ 2, 7000 }, FlowVerdict::Owned, milliseconds(2));
+        balancer.tick(milliseconds(150));
+        CHECK(balancer.asked().empty());
+    }
+}
--- a/test/unit/HostAdmissionTest.cpp
+++ b/test/unit/HostAdmissionTest.cpp
@@ -257,6 +257,24 @@
     CHECK(agent.verdicts() == std::vector { FlowVerdict::NotFound });
 }
 
+// Guards against balancers that search a flow until its caller gives up, because nobody says that it is gone.
+TEST_CASE("an agent answers an attempt to recover a flow that its backend server does not hold")
+{
+    Agent restarted(seconds(1));
+    restarted.fromCaller([](FlowPacket&) {}, SteeringPurpose::Recover);
+    CHECK(restarted.verdicts().empty());
+    restarted.returned();
+    CHECK(restarted.verdicts() == std::vector { FlowVerdict::NotFound });
+    Agent longRunning;
+    longRunning.fromCaller([](FlowPacket&) {}, SteeringPurpose::Recover);
+    CHECK_FALSE(longRunning.delivered());
+    CHECK(longRunning.verdicts() == std::vector { FlowVerdict::NotFound });
+    // A search is answered by the owner only: it goes to many agents, and the flow is usually found.
+    Agent searched;
+    searched.fromCaller([](FlowPacket&) {}, SteeringPurpose::Search);
+    CHECK(searched.verdicts().empty());
+}
+
 // Guards against a slot for a held flow whose caller has opened it at another backend server meanwhile.
 TEST_CASE("a held flow is dropped when a later packet shows that it is open elsewhere")
 {
