Take no open flow for lost while a host is missing or may have been forgotten

A directory is complete only while no host's entry is missing, and an agent keeps idle flows for the lifetime of a flow, not 30 s: before, it would have denied a flow that its backend server still held. Both guards were found by reading; the first has a test.

--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -26,9 +26,6 @@
 // A balancer sends packets of a flow to several agents only until the owner has answered.
 constexpr std::chrono::milliseconds declinedRetention { 2000 };
 
-// Flows that are idle for longer are removed; if such a flow resumes, the balancers search for its owner again.
-constexpr std::chrono::milliseconds idleLimit { 30000 };
-
 constexpr std::chrono::milliseconds sweepInterval { 500 };
 
 // Time constant of the demand average: long compared with the interval between flows at one agent (about 20 ms), short
@@ -458,7 +455,8 @@
         return;
     }
     this->nextSweep = now + sweepInterval;
-    this->flows.expire(idleLimit, now);
+    // A flow that was removed earlier might still be open: the agent would then deny that it holds the flow.
+    this->flows.expire(this->flowLifetime, now);
     std::erase_if(
         this->tentativeDeliveries, [&](const auto& item) { return now - item.second.since > tentativeLifetime; });
     std::erase_if(this->declinedFlows, [&](const auto& item) { return now - item.second > declinedRetention; });
--- a/src/state/HostDirectory.cpp
+++ b/src/state/HostDirectory.cpp
@@ -2,6 +2,8 @@
 
 #include "support/Overloaded.h"
 
+#include <algorithm>
+
 namespace chicoryferry {
 
 namespace {
@@ -100,6 +102,14 @@
     return changed;
 }
 
+bool HostDirectory::isComplete() const
+{
+    // While the entry of a known host is missing, those of running hosts that this process has not read may be, too.
+    return this->complete && std::none_of(this->known.begin(), this->known.end(), [](const auto& item) {
+        return item.second.missingSince.has_value();
+    });
+}
+
 bool HostDirectory::expire(TimePoint now)
 {
     std::erase_if(this->removedRoutes, [&](const auto& item) { return now - item.second > removedRouteRetention; });
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -44,8 +44,8 @@
     // Returns whether hosts were removed.
     bool endListing(TimePoint now);
 
-    // Whether the whole store has been read once, so that every host with an entry is known.
-    bool isComplete() const { return this->complete; }
+    // Whether every running host is known: the whole store has been read once, and no host is missing at present.
+    bool isComplete() const;
 
     // Removes hosts that have been missing for at least missingHostTimeout, and forgets routes that were removed more
     // than removedRouteRetention ago. Returns whether hosts were removed.
--- a/test/unit/HostDirectoryTest.cpp
+++ b/test/unit/HostDirectoryTest.cpp
@@ -126,3 +126,18 @@
         CHECK_FALSE(directory.isRemovedRoute({ 1, 443 }));
     }
 }
+
+// Guards against open flows that are taken for lost while their host's entry is missing.
+TEST_CASE("a directory is complete once the store has been read and while no host is missing")
+{
+    HostDirectory directory;
+    directory.beginListing();
+    directory.apply(HostWritten { host("a", 1) }, start);
+    CHECK_FALSE(directory.isComplete());
+    directory.endListing(start);
+    CHECK(directory.isComplete());
+    directory.apply(HostRemoved { "a", false }, start);
+    CHECK_FALSE(directory.isComplete());
+    directory.expire(start + HostDirectory::missingHostTimeout);
+    CHECK(directory.isComplete());
+}
