--- a/review/harness/Host.cpp
+++ b/review/harness/Host.cpp
@@ -55,7 +55,7 @@
     this->stopping = true;
     this->thread.join();
     for (const auto& [id, flow] : this->flows) {
-        if (flow.requestTaken && !flow.answered) {
+        if (flow.requestTaken) {
             this->record.line("host " + this->plan.id + " exits with request " + flow.request + " in progress");
         }
     }
@@ -137,7 +137,7 @@
 
 void Host::observe(HostEvent::Kind kind, const Flow& flow) const
 {
-    this->observer({ kind, this->plan.id, flow.request, flow.caller, Clock::now() });
+    this->observer({ kind, this->plan.id, flow.request, flow.caller, Clock::now(), true });
 }
 
 void Host::handleFirst(const Packet& packet, const Bytes& bytes)
@@ -153,6 +153,7 @@
         flow.caller = packet.source;
         flow.service = packet.destination;
         flow.ownSequence = static_cast<std::uint32_t>(this->random());
+        flow.nextSequence = flow.ownSequence + 1;
         flow.expected = packet.sequence + 1;
     }
     this->reply(flow, flow.ownSequence, Packet::syn | Packet::ack, "");
@@ -166,6 +167,8 @@
     }
     const FlowId id { packet.source, packet.destination };
     const auto found = this->flows.find(id);
+    this->observer(
+        { HostEvent::Kind::Packet, this->plan.id, "", packet.source, Clock::now(), found != this->flows.end() });
     if (found == this->flows.end()) {
         this->bounce(bytes);
         return;
@@ -189,27 +192,34 @@
         return;
     }
     if (flow.ended) {
-        this->reply(flow, flow.ownSequence + 1, packet.has(Packet::fin) ? Packet::ack : Packet::rst, "");
+        this->reply(flow, flow.nextSequence, packet.has(Packet::fin) ? Packet::ack : Packet::rst, "");
         return;
     }
-    if (flow.answer && packet.acknowledgement == flow.answer->sequence + flow.answer->payload.size() + 1) {
+    if (flow.answer && packet.acknowledgement == flow.nextSequence) {
         flow.answer.reset();
     }
-    if (!packet.payload.empty() && packet.sequence == flow.expected && !flow.requestTaken) {
-        flow.expected += static_cast<std::uint32_t>(packet.payload.size());
-        flow.requestTaken = true;
-        flow.request = requestId(packet.payload);
-        this->waiting.push_back(id);
+    if (!packet.payload.empty() && packet.sequence == flow.expected && !flow.requestTaken && !flow.finished) {
+        this->takeRequest(flow, id, packet);
     }
     if (packet.has(Packet::fin)) {
         flow.expected = packet.sequence + static_cast<std::uint32_t>(packet.payload.size()) + 1;
-        flow.ended = flow.answered;
+        flow.ended = flow.finished;
     }
     if (!packet.payload.empty() || packet.has(Packet::fin)) {
-        this->reply(flow, flow.ownSequence + 1, Packet::ack, "");
+        this->reply(flow, flow.nextSequence, Packet::ack, "");
     }
 }
 
+void Host::takeRequest(Flow& flow, const FlowId& id, const Packet& packet)
+{
+    flow.expected += static_cast<std::uint32_t>(packet.payload.size());
+    flow.requestTaken = true;
+    flow.request = requestId(packet.payload);
+    flow.closes = this->draining || packet.payload.find("Connection: close") != std::string::npos;
+    flow.answer.reset(); // the caller has it, since it sends its next request
+    this->waiting.push_back(id);
+}
+
 void Host::startRequests(Clock::time_point now)
 {
     while (!this->waiting.empty() && this->running < this->plan.slots) {
@@ -229,12 +239,16 @@
         }
         flow.finishAt.reset();
         --this->running;
-        flow.answered = true;
+        flow.requestTaken = false;
+        flow.finished = flow.closes;
+        flow.transmissions = 0;
         const std::string body = "host " + this->plan.id + " request " + flow.request;
         Packet answer;
-        answer.sequence = flow.ownSequence + 1;
-        answer.payload = "HTTP/1.1 200 OK\r\nX-Chicoryferry-Response-Stamp: " + this->plan.id
-            + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\nConnection: close\r\n\r\n" + body;
+        answer.sequence = flow.nextSequence;
+        answer.flags = flow.closes ? Packet::ack | Packet::fin : Packet::ack;
+        answer.payload = "HTTP/1.1 200 OK\r\nX-Chicoryferry-Response-Stamp: " + this->plan.id + "\r\nContent-Length: "
+            + std::to_string(body.size()) + (flow.closes ? "\r\nConnection: close" : "") + "\r\n\r\n" + body;
+        flow.nextSequence += static_cast<std::uint32_t>(answer.payload.size()) + (flow.closes ? 1 : 0);
         flow.answer = answer;
         flow.nextTransmission = now;
         this->observe(HostEvent::Kind::Finished, flow);
@@ -255,7 +269,7 @@
         flow.nextTransmission
             = now + std::min(Milliseconds(200) * (1 << std::min(flow.transmissions, 3)), Milliseconds(1600));
         ++flow.transmissions;
-        this->reply(flow, flow.answer->sequence, Packet::ack | Packet::fin, flow.answer->payload);
+        this->reply(flow, flow.answer->sequence, flow.answer->flags, flow.answer->payload);
     }
 }
 
--- a/review/harness/Host.h
+++ b/review/harness/Host.h
@@ -31,15 +31,16 @@
 
 // What happened to a request at a host.
 struct HostEvent {
-    enum class Kind { Opened, Started, Finished };
+    enum class Kind { Packet, Opened, Started, Finished };
     Kind kind;
     std::string host;
     std::string request;
     Address caller; // of the flow
     Clock::time_point at;
+    bool held; // the host holds the flow
 };
 
-// Stand-in of a host: registers in the store and serves one request on each flow.
+// Stand-in of a host: registers in the store and serves requests, one at a time on each flow.
 class Host {
 public:
     using Observer = std::function<void(const HostEvent&)>;
@@ -62,15 +63,17 @@
         Address caller;
         Address service;
         std::uint32_t ownSequence { 0 }; // of the SYN+ACK
+        std::uint32_t nextSequence { 0 }; // of the next byte that the host sends
         std::uint32_t expected { 0 }; // the next sequence number of the caller
         bool open { false };
-        bool requestTaken { false };
+        bool requestTaken { false }; // and not answered yet
+        bool closes { false }; // after the answer
         std::string request;
         std::optional<Clock::time_point> finishAt; // while the request runs
         std::optional<Packet> answer; // until the caller has acknowledged it
         Clock::time_point nextTransmission;
         int transmissions { 0 };
-        bool answered { false };
+        bool finished { false }; // the host has sent its FIN
         bool ended { false }; // both ends have sent a FIN
     };
 
@@ -87,6 +90,7 @@
     void retransmit(Clock::time_point now);
     void reply(const Flow&, std::uint32_t sequence, std::uint8_t flags, const std::string& payload) const;
     void observe(HostEvent::Kind, const Flow&) const;
+    void takeRequest(Flow&, const FlowId&, const Packet&);
 
     HostPlan plan;
     Store& store;
