--- a/review/harness/Host.cpp
+++ b/review/harness/Host.cpp
@@ -28,7 +28,8 @@
     , record(caseRecord)
     , observer(std::move(hostObserver))
     , socket(this->plan.app)
-    , born(std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
+    , born(std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()
+          + this->plan.clockError.count())
     , random(static_cast<std::mt19937::result_type>(this->born) ^ this->plan.app.ip)
     , thread([this] { this->run(); })
 {
@@ -50,6 +51,13 @@
     }
 }
 
+void Host::crash()
+{
+    this->stopping = true;
+    this->thread.join();
+    this->record.line("host " + this->plan.id + " crashes");
+}
+
 void Host::exit()
 {
     this->stopping = true;
--- a/review/harness/Host.h
+++ b/review/harness/Host.h
@@ -27,6 +27,7 @@
     Milliseconds work { 15 };
     Milliseconds cold { 2000 }; // how long the host is slow after its start
     Milliseconds heartbeat { 770 };
+    Milliseconds clockError { 0 }; // of the machine's time of day when the host starts
 };
 
 // What happened to a request at a host.
@@ -56,6 +57,9 @@
     // Ends the host: open flows and requests in progress are discarded, the entry is removed from the store.
     void exit();
 
+    // Ends the host without a word: its entry stays.
+    void crash();
+
     const HostPlan& description() const { return this->plan; }
 
 private:
