Balancer: an entry of the store no longer hides another host of the same machine

Cause: HostDirectory::hosts kept one entry for each address, the one with the later start time, whoever wrote it. The balancer then knew the agent under the unknown service: no route led to it, and searches were addressed to that service.

Evidence: the log of the balancer has host_changed of i-odd, then flow_refused_by_agent with wrong_service for each packet of the 8 flows, from the agent that had served them. host_changed now names service and address; entry_selected says which of several entries is in use.

FlowPlacement uses the entry with the service that the agent reports, which no other writer can change.

--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -144,12 +144,14 @@
     }
 }
 
-bool BalancerNode::hasNewAgents(const std::vector<FlowPlacement::Agent>& agents) const
+void BalancerNode::logSelections()
 {
-    const auto known = this->placement.agents();
-    return std::any_of(agents.begin(), agents.end(), [&](const FlowPlacement::Agent& agent) {
-        return std::find(known.begin(), known.end(), agent.address) == known.end();
-    });
+    for (const FlowPlacement::EntrySelection& selection : this->placement.takeSelections()) {
+        this->log.log(EventLog::Importance::Notable, "entry_selected",
+            { { "agent", formatEndpoint(selection.agent) }, { "host", selection.host },
+                { "service", selection.service }, { "entries", static_cast<std::int64_t>(selection.entries) },
+                { "reported", selection.reported ? 1 : 0 } });
+    }
 }
 
 void BalancerNode::onDirectoryChange()
@@ -161,10 +163,10 @@
         const Endpoint address { host->entry.address.address, this->settings.packetAddress.port };
         agents.push_back({ address, host->entry, host->learnedAt });
     }
-    if (this->hasNewAgents(agents)) {
-        this->nextAgentHello = now; // asks for their load
+    if (this->placement.setAgents(agents, now)) {
+        this->nextAgentHello = now; // asks for reports
     }
-    this->placement.setAgents(agents, now);
+    this->logSelections();
     this->configurationVersion = this->directory.routes().version;
     const bool usable = this->directory.hasRoutes() && !agents.empty();
     if (usable && !this->ready && !this->stopping) {
@@ -273,6 +275,7 @@
     if (!this->placement.report(agent, message.load, now)) {
         this->metrics.drops("take report", "old_or_unknown").Increment();
     }
+    this->logSelections();
     this->learnPeers(message.balancers, now);
     for (const VerdictMessage& item : message.verdicts) {
         this->steering.handleVerdict(agent, item.flow, item.verdict, now, this->actions);
--- a/src/app/BalancerNode.h
+++ b/src/app/BalancerNode.h
@@ -51,7 +51,7 @@
     void detectPause(std::chrono::nanoseconds now);
     void tick(TimePoint now);
     void sendHellos(TimePoint now);
-    bool hasNewAgents(const std::vector<FlowPlacement::Agent>&) const;
+    void logSelections();
     void handleHello(const Endpoint& peer, const HelloMessage&, TimePoint now);
     void learnPeers(const std::vector<std::uint32_t>& addresses, TimePoint now);
     void synchronizeWithPeers(TimePoint now);
--- a/src/app/StoreReader.cpp
+++ b/src/app/StoreReader.cpp
@@ -204,10 +204,17 @@
     }
 }
 
-void StoreReader::logHostChange(std::string_view host, std::string_view state, std::uint64_t revision)
+void StoreReader::logHostWritten(const HostEntry& entry, std::uint64_t revision)
 {
     this->log.log(EventLog::Importance::Notable, "host_changed",
-        { { "host", host }, { "state", state }, { "revision", static_cast<std::int64_t>(revision) } });
+        { { "host", entry.id }, { "state", entry.draining ? "draining" : "ready" }, { "service", entry.service },
+            { "address", formatEndpoint(entry.address) }, { "revision", static_cast<std::int64_t>(revision) } });
+}
+
+void StoreReader::logHostRemoved(std::string_view host, std::uint64_t revision)
+{
+    this->log.log(EventLog::Importance::Notable, "host_changed",
+        { { "host", host }, { "state", "gone" }, { "revision", static_cast<std::int64_t>(revision) } });
 }
 
 void StoreReader::logRefusedEntry(const DirectoryChange& change, std::uint64_t revision)
@@ -249,11 +256,8 @@
     case HostDirectory::Effect::HostsChanged:
         std::visit(Overloaded {
                        [](const RouteTableWritten&) {},
-                       [&](const HostWritten& written) {
-                           this->logHostChange(
-                               written.entry.id, written.entry.draining ? "draining" : "ready", revision);
-                       },
-                       [&](const HostRemoved& removed) { this->logHostChange(removed.id, "gone", revision); },
+                       [&](const HostWritten& written) { this->logHostWritten(written.entry, revision); },
+                       [&](const HostRemoved& removed) { this->logHostRemoved(removed.id, revision); },
                        [](const EntryRefused&) {},
                    },
             change);
--- a/src/app/StoreReader.h
+++ b/src/app/StoreReader.h
@@ -65,7 +65,8 @@
     void apply(const std::vector<DirectoryChange>&, std::uint64_t revision, TimePoint now);
     void logEffect(const DirectoryChange&, HostDirectory::Effect, std::uint64_t revision);
     void logRefusedEntry(const DirectoryChange&, std::uint64_t revision);
-    void logHostChange(std::string_view host, std::string_view state, std::uint64_t revision);
+    void logHostWritten(const HostEntry&, std::uint64_t revision);
+    void logHostRemoved(std::string_view host, std::uint64_t revision);
     void handleFetchFailure(const std::string& step, const std::string& reason);
     void handleFailure(const std::string& step, const std::string& reason, TimePoint now);
     void handleSuccess(TimePoint now);
--- a/src/coordination/FlowPlacement.cpp
+++ b/src/coordination/FlowPlacement.cpp
@@ -39,22 +39,73 @@
 {
 }
 
-void FlowPlacement::setAgents(const std::vector<Agent>& agents, TimePoint now)
+bool FlowPlacement::hasEntryFor(const State& state, std::string_view service)
+{
+    return std::any_of(
+        state.entries.begin(), state.entries.end(), [&](const Agent& entry) { return entry.host.service == service; });
+}
+
+bool FlowPlacement::selectEntry(State& state)
+{
+    const std::string previous = state.host().service;
+    const auto reported = std::find_if(state.entries.begin(), state.entries.end(),
+        [&](const Agent& entry) { return state.reported && serviceHash(entry.host.service) == state.load.service; });
+    state.selected = reported == state.entries.end()
+        ? 0
+        : static_cast<std::size_t>(std::distance(state.entries.begin(), reported));
+    // An entry of another writer that is newer than that of a draining host must not return the host to use.
+    state.draining = std::any_of(state.entries.begin(), state.entries.end(),
+        [&](const Agent& entry) { return entry.host.draining && entry.host.service == state.host().service; });
+    return state.host().service != previous;
+}
+
+void FlowPlacement::recordSelection(const Endpoint& agent, const State& state)
+{
+    this->selections.push_back({ agent, state.host().id, state.host().service, state.entries.size(),
+        state.reported && serviceHash(state.host().service) == state.load.service });
+}
+
+void FlowPlacement::indexServices()
 {
-    std::map<Endpoint, State> next;
     this->byService.clear();
+    for (const auto& [address, state] : this->states) {
+        this->byService[state.host().service].push_back(address);
+    }
+}
+
+bool FlowPlacement::setAgents(const std::vector<Agent>& agents, TimePoint now)
+{
+    std::map<Endpoint, State> next;
     for (const Agent& agent : agents) {
-        State state;
-        const auto found = this->states.find(agent.address);
-        if (found != this->states.end() && found->second.host.service == agent.host.service) {
-            state = found->second;
+        Agent& entry = next[agent.address].entries.emplace_back(agent);
+        entry.learnedAt = std::min(agent.learnedAt, now);
+    }
+    bool reportNeeded = false;
+    for (auto& [address, state] : next) {
+        const auto found = this->states.find(address);
+        const State* const known = found == this->states.end() ? nullptr : &found->second;
+        reportNeeded = reportNeeded || known == nullptr
+            || std::any_of(state.entries.begin(), state.entries.end(),
+                [&](const Agent& entry) { return !hasEntryFor(*known, entry.host.service); });
+        if (known != nullptr) {
+            State carried = *known;
+            carried.entries = state.entries;
+            carried.selected = 0;
+            selectEntry(carried);
+            if (carried.host().service == known->host().service) {
+                state = std::move(carried);
+            }
+        }
+        selectEntry(state);
+        if (state.entries.size() > 1
+            && (known == nullptr || known->entries.size() != state.entries.size()
+                || known->host().id != state.host().id)) {
+            this->recordSelection(address, state);
         }
-        state.host = agent.host;
-        state.learnedAt = std::min(agent.learnedAt, now);
-        next.insert_or_assign(agent.address, std::move(state));
-        this->byService[agent.host.service].push_back(agent.address);
     }
     this->states = std::move(next);
+    this->indexServices();
+    return reportNeeded;
 }
 
 bool FlowPlacement::report(const Endpoint& agent, const AgentLoad& load, TimePoint now)
@@ -74,6 +125,10 @@
     state.reportedAt = now;
     state.reported = true;
     state.silent = false;
+    if (state.entries.size() > 1 && selectEntry(state)) {
+        this->recordSelection(agent, state);
+        this->indexServices();
+    }
     return true;
 }
 
@@ -81,13 +136,13 @@
 {
     const bool known = state.reported && now - state.reportedAt < loadReportLifetime(this->states.size());
     AgentLoad load = known ? state.load : AgentLoad {};
-    load.slots = std::max(1U, state.host.slots);
+    load.slots = std::max(1U, state.host().slots);
     wait = expectedWait(load, state.unanswered, urgency);
     double total = milliseconds(wait) + occupancyCostMs * (load.occupied() + state.unanswered) / load.slots;
-    if (state.learnedAt + state.host.coldRemaining > now) {
+    if (state.entries[state.selected].learnedAt + state.host().coldRemaining > now) {
         total += coldSlowdown * milliseconds(load.meanWork.count() > 0 ? load.meanWork : defaultMeanWork);
     }
-    if (state.host.availabilityZone != this->availabilityZone) {
+    if (state.host().availabilityZone != this->availabilityZone) {
         total += otherZoneCostMs;
     }
     if (!known) {
@@ -119,7 +174,7 @@
             const auto age = state.reported
                 ? std::chrono::duration_cast<std::chrono::milliseconds>(now - state.reportedAt)
                 : std::chrono::milliseconds(-1);
-            best = PlacementChoice { address, wait, age, state.host.slots };
+            best = PlacementChoice { address, wait, age, state.host().slots };
             bestCost = agentCost;
         }
     }
@@ -137,7 +192,7 @@
 std::uint64_t FlowPlacement::serviceOf(const Endpoint& agent) const
 {
     const auto found = this->states.find(agent);
-    return found == this->states.end() ? 0 : serviceHash(found->second.host.service);
+    return found == this->states.end() ? 0 : serviceHash(found->second.host().service);
 }
 
 void FlowPlacement::recordFlowSent(const Endpoint& agent)
--- a/src/coordination/FlowPlacement.h
+++ b/src/coordination/FlowPlacement.h
@@ -14,6 +14,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace chicoryferry {
@@ -33,17 +34,28 @@
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
 
-    // An agent, which runs alongside one backend server.
+    // An agent, which runs alongside one backend server, and an entry for that backend server.
     struct Agent {
         Endpoint address;
         HostEntry host;
         TimePoint learnedAt; // time at which the host's entry was read
     };
 
+    // The entry in use for an agent that several entries name.
+    struct EntrySelection {
+        Endpoint agent;
+        std::string host; // id of the entry in use
+        std::string service;
+        std::size_t entries { 0 }; // number of entries that name the agent
+        bool reported { false }; // the agent reports this service
+    };
+
     FlowPlacement(std::string availabilityZone, std::uint64_t seed);
 
-    // Replaces the set of agents. Agents that remain with the same service keep their recorded state.
-    void setAgents(const std::vector<Agent>&, TimePoint now);
+    // Replaces the set of agents. An agent with several entries uses the first that has the service that the agent
+    // reports, and the first of all until it reports one of their services. Agents that remain with the same service
+    // keep their recorded state. Returns whether a report is needed: an agent or a service of one is new.
+    bool setAgents(const std::vector<Agent>&, TimePoint now);
 
     // Records a load report. Returns false if the agent is unknown or the report is not newer than the recorded one.
     bool report(const Endpoint& agent, const AgentLoad&, TimePoint now);
@@ -74,23 +86,35 @@
 
     bool isSilent(const Endpoint& agent) const;
 
+    // Returns the selections that have been made since the last call for agents with several entries.
+    std::vector<EntrySelection> takeSelections() { return std::exchange(this->selections, {}); }
+
 private:
     struct State {
-        HostEntry host;
-        TimePoint learnedAt;
+        std::vector<Agent> entries; // at least one
+        std::size_t selected { 0 }; // index of the entry in use
+        bool draining { false }; // an entry with the service in use says that the backend server is draining
         AgentLoad load;
         TimePoint reportedAt;
         bool reported { false };
         bool silent { false };
         std::uint32_t unanswered { 0 }; // number of flows sent whose verdict is outstanding
+
+        const HostEntry& host() const { return this->entries[this->selected].host; }
     };
 
-    static bool isUsable(const State& state) { return !state.host.draining && !(state.reported && state.load.leaving); }
+    static bool isUsable(const State& state) { return !state.draining && !(state.reported && state.load.leaving); }
+    static bool hasEntryFor(const State&, std::string_view service);
+    // Selects the entry in use. Returns whether its service has changed.
+    static bool selectEntry(State&);
+    void recordSelection(const Endpoint& agent, const State&);
+    void indexServices();
     double cost(const State&, FlowUrgency, TimePoint now, std::chrono::microseconds& wait);
 
     std::string availabilityZone;
     std::map<Endpoint, State> states;
     std::map<std::string, std::vector<Endpoint>, std::less<>> byService;
+    std::vector<EntrySelection> selections;
     std::minstd_rand random;
 };
 
--- a/src/state/HostDirectory.cpp
+++ b/src/state/HostDirectory.cpp
@@ -6,18 +6,6 @@
 
 namespace chicoryferry {
 
-namespace {
-
-bool startedLater(const KnownHost& left, const KnownHost& right)
-{
-    if (left.entry.startedAtMs != right.entry.startedAtMs) {
-        return left.entry.startedAtMs > right.entry.startedAtMs;
-    }
-    return left.learnedAt > right.learnedAt;
-}
-
-}
-
 HostDirectory::Effect HostDirectory::applyHost(const HostEntry& entry, TimePoint now)
 {
     this->listed.insert(entry.id);
@@ -64,6 +52,31 @@
     }
     std::erase_if(this->removedRoutes, [&](const auto& item) { return next.routes.contains(item.first); });
     this->table = next;
+    this->routedServices.clear();
+    for (const auto& [address, route] : next.routes) {
+        std::visit(Overloaded {
+                       [this](const std::string& service) { this->routedServices.insert(service); },
+                       [this](const std::vector<WeightedService>& services) {
+                           for (const WeightedService& weighted : services) {
+                               this->routedServices.insert(weighted.service);
+                           }
+                       },
+                   },
+            route.target);
+    }
+}
+
+bool HostDirectory::isMorePlausible(const KnownHost& left, const KnownHost& right) const
+{
+    const bool leftRouted = this->routedServices.contains(left.entry.service);
+    const bool rightRouted = this->routedServices.contains(right.entry.service);
+    if (leftRouted != rightRouted) {
+        return leftRouted;
+    }
+    if (left.entry.startedAtMs != right.entry.startedAtMs) {
+        return left.entry.startedAtMs > right.entry.startedAtMs;
+    }
+    return left.learnedAt > right.learnedAt;
 }
 
 HostDirectory::Effect HostDirectory::apply(const DirectoryChange& change, TimePoint now)
@@ -126,18 +139,17 @@
 
 std::vector<const KnownHost*> HostDirectory::hosts() const
 {
-    std::map<Endpoint, const KnownHost*> byAddress;
-    for (const auto& [id, host] : this->known) {
-        const KnownHost*& newest = byAddress[host.entry.address];
-        if (newest == nullptr || startedLater(host, *newest)) {
-            newest = &host;
-        }
-    }
     std::vector<const KnownHost*> hosts;
-    hosts.reserve(byAddress.size());
-    for (const auto& [address, host] : byAddress) {
-        hosts.push_back(host);
+    hosts.reserve(this->known.size());
+    for (const auto& [id, host] : this->known) {
+        hosts.push_back(&host);
     }
+    // Each machine has one host, so that entries with different ports of it name the same host.
+    std::stable_sort(hosts.begin(), hosts.end(), [this](const KnownHost* left, const KnownHost* right) {
+        const std::uint32_t leftMachine = left->entry.address.address;
+        const std::uint32_t rightMachine = right->entry.address.address;
+        return leftMachine != rightMachine ? leftMachine < rightMachine : this->isMorePlausible(*left, *right);
+    });
     return hosts;
 }
 
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -61,7 +62,9 @@
     // Null when the configuration in force has no route to the address.
     const FlowRoute* route(const Endpoint& address) const;
 
-    // Ordered by address. When several entries have the same address, only the host that started last is included.
+    // All backend servers, ordered by the address of their machine. Several entries can name one machine: those of
+    // successive hosts, or one of another writer. The most plausible is the first of its machine: one of a service that
+    // a route in force names, and of these the one that started last.
     std::vector<const KnownHost*> hosts() const;
 
     // Running hosts have rewritten their entries about 2 s after the store comes back; a host that has stopped must be
@@ -76,8 +79,10 @@
     Effect applyRemoval(const HostRemoved&, TimePoint now);
 
     void applyRoutes(const RouteTable&, TimePoint now);
+    bool isMorePlausible(const KnownHost&, const KnownHost&) const;
 
     RouteTable table;
+    std::set<std::string, std::less<>> routedServices; // services that a route of the table names
     std::map<Endpoint, TimePoint> removedRoutes; // with the time of their removal
     std::map<std::string, KnownHost> known;
     std::set<std::string> listed;
--- a/test/integration/NodeProcessesTest.cpp
+++ b/test/integration/NodeProcessesTest.cpp
@@ -323,6 +323,37 @@
     CHECK(fleet.agent->running());
 }
 
+// review/1: entries with the address of a live host hid the host, and its open flows were lost to other balancers.
+TEST_CASE("entries of another writer with the address of a live host do not hide it [FLOW]")
+{
+    SmallFleet fleet;
+    const Endpoint caller { fleet.callerIp, fleet.nextPort++ };
+    fleet.checkForwarded(fleet.callerSocket, fleet.balancerPackets, fleet.hostSocket,
+        makePacket(caller, fleet.service, 1, 0, flagSyn, {}, fleet.random));
+    fleet.checkForwarded(fleet.hostSocket, fleet.outbound, fleet.callerSocket,
+        makePacket(fleet.service, caller, 100, 2, flagSyn | flagAcknowledge, {}, fleet.random));
+    fleet.checkForwarded(fleet.callerSocket, fleet.balancerPackets, fleet.hostSocket,
+        makePacket(caller, fleet.service, 2, 101, flagAcknowledge, {}, fleet.random));
+    fleet.writeConfiguration(
+        5, 1, R"("weighted-backends":[{"service":"job","weight":99},{"service":"drawing","weight":1}])");
+    for (const char* service : { "press-room", "drawing" }) {
+        for (const int port : { 8165, 9 }) {
+            fleet.store.write(fmt::format("servers/odd-{}-{}", service, port),
+                fmt::format(R"({{"service":"{}","address":"{}","zone":"a","slots":2,"state":"ready",)"
+                            R"("born":1790000001000}})",
+                    service, formatEndpoint({ fleet.agentIp, static_cast<std::uint16_t>(port) })));
+        }
+    }
+    CHECK(fleet.balancerLogs("host_changed", "host", "odd-drawing-9"));
+    fleet.checkServed(1);
+    // Another balancer, which has to search the open flow.
+    fleet.startBalancer();
+    CHECK(fleet.balancerLogs("entry_selected", "host", "i-1"));
+    fleet.checkForwarded(fleet.callerSocket, fleet.balancerPackets, fleet.hostSocket,
+        makePacket(caller, fleet.service, 2, 101, flagAcknowledge, { 1 }, fleet.random));
+    fleet.checkServed(1);
+}
+
 TEST_CASE("a weighted route is served, and a service without a host leaves its share to the others [CONFIG]")
 {
     SmallFleet fleet;
