Balancer: changes of a host are ordered by the store's revisions

Cause: StoreReader applied each watch answer as if it were newer than all that was known. An answer that a partition had held up undid the newer state that the balancer had taken from a peer, and the store never told it again.

Evidence: the log of the balancer has host_changed of revision 110 (draining), then of revision 109 (ready).

The tests of endListing pass the revision of the listing, and one removal in OddStoreEntriesTest the revision that the store would give it; what they check is unchanged.

--- a/src/app/DirectorySnapshot.cpp
+++ b/src/app/DirectorySnapshot.cpp
@@ -89,6 +89,7 @@
         item.set_slots(host->entry.slots);
         item.set_draining(host->entry.draining);
         item.set_started_at_ms(host->entry.startedAtMs);
+        item.set_revision(host->revision);
     }
     return snapshot.SerializeAsString();
 }
@@ -108,9 +109,10 @@
         if (!isValid(item)) {
             return std::nullopt;
         }
-        result.changes.emplace_back(
-            HostWritten { { item.id(), item.service(), { item.address(), static_cast<std::uint16_t>(item.port()) },
-                item.availability_zone(), item.slots(), item.draining(), milliseconds(0), item.started_at_ms() } });
+        result.changes.emplace_back(HostWritten {
+            { item.id(), item.service(), { item.address(), static_cast<std::uint16_t>(item.port()) },
+                item.availability_zone(), item.slots(), item.draining(), milliseconds(0), item.started_at_ms() },
+            item.revision() > 0 ? item.revision() : snapshot.revision() });
     }
     return result;
 }
--- a/src/app/StoreReader.cpp
+++ b/src/app/StoreReader.cpp
@@ -116,12 +116,11 @@
         this->handleFetchFailure("read answer", "answer is not a valid directory snapshot");
         return;
     }
-    if (snapshot->revision <= this->watchedRevision) {
+    if (snapshot->revision <= this->directory.revision()) {
         return; // this process's store calls have already reached this revision
     }
     this->directory.beginListing();
     this->apply(snapshot->changes, snapshot->revision, now);
-    this->watchedRevision = snapshot->revision;
     if (this->listing) {
         // The peer's state makes a listing in progress unnecessary.
         this->listing = false;
@@ -129,7 +128,7 @@
         this->exchange.reset();
         this->nextCall = now;
     }
-    if (this->directory.endListing(now)) {
+    if (this->directory.endListing(snapshot->revision, now)) {
         this->onChange();
     }
     this->log.log(EventLog::Importance::Notable, "peer_state_taken",
@@ -140,7 +139,7 @@
 void StoreReader::startCall(TimePoint now)
 {
     const std::string target = this->listing ? platform::listTarget(this->listAfter)
-                                             : platform::watchTarget(this->watchedRevision, watchWait);
+                                             : platform::watchTarget(this->directory.revision(), watchWait);
     this->exchangeDeadline = now + callTimeout + (this->listing ? milliseconds(0) : watchWait);
     this->metrics.events("store_call").Increment();
     this->exchange = std::make_unique<HttpExchange>(this->loop, this->store, target, maximumAnswerBytes,
@@ -153,7 +152,8 @@
     if (!this->unavailable) {
         this->unavailable = true;
         this->log.log(EventLog::Importance::Notable, "store_lost",
-            { { "step", step }, { "reason", reason }, { "revision", static_cast<std::int64_t>(this->watchedRevision) },
+            { { "step", step }, { "reason", reason },
+                { "revision", static_cast<std::int64_t>(this->directory.revision()) },
                 { "configuration", static_cast<std::int64_t>(this->directory.routes().version) } });
     }
     this->backoff = std::clamp(this->backoff * 2, initialBackoff, maximumBackoff);
@@ -170,7 +170,7 @@
     if (this->unavailable) {
         this->unavailable = false;
         this->log.log(EventLog::Importance::Notable, "store_regained",
-            { { "revision", static_cast<std::int64_t>(this->watchedRevision) } });
+            { { "revision", static_cast<std::int64_t>(this->directory.revision()) } });
     }
 }
 
@@ -184,7 +184,7 @@
     }
     if (result.status == httpGone && !this->listing) {
         this->log.log(EventLog::Importance::Notable, "store_history_gone",
-            { { "revision", static_cast<std::int64_t>(this->watchedRevision) } });
+            { { "revision", static_cast<std::int64_t>(this->directory.revision()) } });
         this->listing = true;
         this->nextCall = now;
         return;
@@ -302,23 +302,25 @@
         return;
     }
     this->listing = false;
-    this->watchedRevision = std::max(this->watchedRevision, this->listRevision);
     if (answer.incomplete) {
+        this->directory.abandonListing();
+        this->directory.advanceTo(this->listRevision);
         // No host is missing from a listing whose further pages cannot be requested.
         this->metrics.refusals("read store", "listing_incomplete").Increment();
         this->log.log(EventLog::Importance::Notable, "listing_incomplete",
-            { { "revision", static_cast<std::int64_t>(this->watchedRevision) } });
+            { { "revision", static_cast<std::int64_t>(this->directory.revision()) } });
         return;
     }
-    if (this->directory.endListing(now)) {
+    if (this->directory.endListing(this->listRevision, now)) {
         this->onChange();
     }
 }
 
 void StoreReader::applyEvents(const platform::StoreAnswer& answer, TimePoint now)
 {
+    // The answer may be late: a peer's newer state may have been taken meanwhile. The directory refuses what is older.
     this->apply(answer.changes, answer.revision, now);
-    this->watchedRevision = std::max(this->watchedRevision, answer.revision);
+    this->directory.advanceTo(answer.revision);
     this->handleSuccess(now);
     this->nextCall = answer.changes.empty() ? now : now + batchingDelay;
 }
--- a/src/app/StoreReader.h
+++ b/src/app/StoreReader.h
@@ -48,7 +48,7 @@
     void fetchFrom(const Endpoint& peer, TimePoint now);
     bool isFetching() const { return this->fetch != nullptr; }
 
-    std::uint64_t revision() const { return this->watchedRevision; }
+    std::uint64_t revision() const { return this->directory.revision(); }
 
     // Whether the last store call succeeded; false until the first success.
     bool available() const { return this->answered && !this->unavailable; }
@@ -93,7 +93,6 @@
     bool listing { true };
     std::string listAfter;
     std::uint64_t listRevision { 0 };
-    std::uint64_t watchedRevision { 0 };
     bool unavailable { false };
     std::chrono::milliseconds backoff { 0 };
 };
--- a/src/state/DirectoryChange.h
+++ b/src/state/DirectoryChange.h
@@ -3,6 +3,7 @@
 #include "protocol/HostEntry.h"
 #include "protocol/RouteTable.h"
 
+#include <cstdint>
 #include <string>
 #include <variant>
 
@@ -16,6 +17,7 @@
 // A backend server's entry was written to the store.
 struct HostWritten {
     HostEntry entry;
+    std::uint64_t revision { 0 }; // of the store
 };
 
 // An entry other than a backend server's could not be read. What was known before stays in force.
@@ -28,6 +30,7 @@
 struct HostRemoved {
     std::string id;
     bool malformed { false };
+    std::uint64_t revision { 0 }; // of the store
 };
 
 using DirectoryChange = std::variant<RouteTableWritten, HostWritten, HostRemoved, EntryRefused>;
--- a/src/state/HostDirectory.cpp
+++ b/src/state/HostDirectory.cpp
@@ -6,16 +6,29 @@
 
 namespace chicoryferry {
 
-HostDirectory::Effect HostDirectory::applyHost(const HostEntry& entry, TimePoint now)
+HostDirectory::Effect HostDirectory::applyHost(const HostWritten& written, TimePoint now)
 {
+    const HostEntry& entry = written.entry;
     this->listed.insert(entry.id);
+    // All changes up to knownRevision are known, so that an unknown host with an older entry has been removed since. A
+    // listing is newer than knownRevision, and what it contains exists.
+    if (!this->isListing && written.revision < this->knownRevision && !this->known.contains(entry.id)) {
+        return Effect::RefusedOlder;
+    }
     const auto [found, added] = this->known.try_emplace(entry.id);
     KnownHost& host = found->second;
+    if (written.revision < host.revision) {
+        return Effect::RefusedOlder;
+    }
+    if (!added && written.revision > 0 && written.revision == host.revision) {
+        return Effect::None; // a peer's copy of the entry may have fewer fields
+    }
     // A delayed entry that the host wrote before its restart.
     if (!added && entry.startedAtMs < host.entry.startedAtMs) {
         return Effect::RefusedOlder;
     }
     const bool changed = added || host.entry != entry || host.missingSince;
+    host.revision = written.revision;
     host.missingSince.reset();
     if (changed) {
         host.entry = entry;
@@ -30,6 +43,10 @@
     if (found == this->known.end()) {
         return removed.malformed ? Effect::RefusedMalformed : Effect::None;
     }
+    if (removed.revision < found->second.revision) {
+        return Effect::RefusedOlder;
+    }
+    found->second.revision = removed.revision;
     // A host whose own entry has become malformed is treated like one whose entry has gone: nothing says any longer
     // that it is in use, and a running host writes a valid entry again.
     if (found->second.entry.draining) {
@@ -89,28 +106,34 @@
                               this->applyRoutes(written.table, now);
                               return Effect::RoutesChanged;
                           },
-                          [&](const HostWritten& written) { return this->applyHost(written.entry, now); },
+                          [&](const HostWritten& written) { return this->applyHost(written, now); },
                           [&](const HostRemoved& removed) { return this->applyRemoval(removed, now); },
                           [](const EntryRefused&) { return Effect::RefusedMalformed; },
                       },
         change);
 }
 
-void HostDirectory::beginListing() { this->listed.clear(); }
+void HostDirectory::beginListing()
+{
+    this->listed.clear();
+    this->isListing = true;
+}
 
-bool HostDirectory::endListing(TimePoint now)
+bool HostDirectory::endListing(std::uint64_t revision, TimePoint now)
 {
     bool changed = false;
     std::vector<std::string> missing;
     for (const auto& [id, host] : this->known) {
-        if (!this->listed.contains(id)) {
+        if (!this->listed.contains(id) && host.revision <= revision) {
             missing.push_back(id);
         }
     }
     for (const std::string& id : missing) {
-        changed = this->applyRemoval({ id, false }, now) == Effect::HostsChanged || changed;
+        changed = this->applyRemoval({ id, false, revision }, now) == Effect::HostsChanged || changed;
     }
     this->listed.clear();
+    this->isListing = false;
+    this->advanceTo(revision);
     this->complete = true;
     return changed;
 }
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -4,6 +4,7 @@
 #include "protocol/RouteTable.h"
 #include "state/DirectoryChange.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -18,12 +19,14 @@
 // The last known state of a backend server.
 struct KnownHost {
     HostEntry entry;
+    std::uint64_t revision { 0 }; // store revision of the last change of the entry, which may be its removal
     std::chrono::steady_clock::time_point learnedAt; // when the entry last changed or reappeared
     std::optional<std::chrono::steady_clock::time_point> missingSince; // set while the store has no usable entry
 };
 
-// The route table and the backend servers as known to this process. The version of the configuration never decreases
-// while a process runs, whatever the store or a peer answers.
+// The route table and the backend servers as known to this process. Answers of the store and of peers may arrive in any
+// order: the version of the configuration never decreases while a process runs, and a change of a host's entry is only
+// applied if it is newer than what is known.
 class HostDirectory {
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
@@ -38,12 +41,21 @@
 
     Effect apply(const DirectoryChange&, TimePoint now);
 
-    // Delimit a full listing of the store: hosts without a HostWritten between the two calls count as missing. A
-    // missing host stays in use for missingHostTimeout, because running hosts rewrite their entries within that time; a
-    // draining host is removed at once.
+    // Store revision up to which all changes are known; 0 before the first listing.
+    std::uint64_t revision() const { return this->knownRevision; }
+
+    // All changes up to the revision have been applied.
+    void advanceTo(std::uint64_t revision) { this->knownRevision = std::max(this->knownRevision, revision); }
+
+    // Delimit a full listing of the store or of a peer's directory, which has all changes up to `revision`: hosts
+    // without a HostWritten between the two calls count as missing, unless they have changed later. A missing host
+    // stays in use for missingHostTimeout, because running hosts rewrite their entries within that time; a draining
+    // host is removed at once.
     void beginListing();
     // Returns whether hosts were removed.
-    bool endListing(TimePoint now);
+    bool endListing(std::uint64_t revision, TimePoint now);
+    // Ends a listing that does not show which hosts are missing.
+    void abandonListing() { this->isListing = false; }
 
     // Whether every running host is known: the whole store has been read once, and no host is missing at present.
     bool isComplete() const;
@@ -75,7 +87,7 @@
     static constexpr std::chrono::milliseconds removedRouteRetention { 60000 };
 
 private:
-    Effect applyHost(const HostEntry&, TimePoint now);
+    Effect applyHost(const HostWritten&, TimePoint now);
     Effect applyRemoval(const HostRemoved&, TimePoint now);
 
     void applyRoutes(const RouteTable&, TimePoint now);
@@ -85,6 +97,8 @@
     std::set<std::string, std::less<>> routedServices; // services that a route of the table names
     std::map<Endpoint, TimePoint> removedRoutes; // with the time of their removal
     std::map<std::string, KnownHost> known;
+    std::uint64_t knownRevision { 0 };
+    bool isListing { false };
     std::set<std::string> listed;
     bool complete { false };
 };
--- a/test/integration/NodeProcessesTest.cpp
+++ b/test/integration/NodeProcessesTest.cpp
@@ -17,6 +17,7 @@
 #include <fmt/format.h>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <poll.h>
 #include <random>
 #include <string>
@@ -88,6 +89,7 @@
     {
         this->agent.reset();
         this->balancer.reset();
+        this->peer.reset();
         std::filesystem::remove_all(this->directory);
     }
 
@@ -100,14 +102,18 @@
         this->balancer->waitForEvent("ready");
     }
 
-    // Writes a configuration with a route to the address 198.18.0.NUMBER; `target` is its member that names services.
+    // A configuration with a route to the address 198.18.0.NUMBER; `target` is its member that names services.
+    static std::string configuration(std::uint64_t version, int number, const std::string& target)
+    {
+        return fmt::format(R"({{"version":{},"routes":[{{"name":"r","hostname":"198.18.0.{}","prefix":"/443/",)"
+                           R"("route-type":"safe","timeout-ms":1000,"target-latency-ms":100,"priority":1,{}}}],)"
+                           R"("services":[]}})",
+            version, number, target);
+    }
+
     void writeConfiguration(std::uint64_t version, int number, const std::string& target)
     {
-        this->store.write("op/config",
-            fmt::format(R"({{"version":{},"routes":[{{"name":"r","hostname":"198.18.0.{}","prefix":"/443/",)"
-                        R"("route-type":"safe","timeout-ms":1000,"target-latency-ms":100,"priority":1,{}}}],)"
-                        R"("services":[]}})",
-                version, number, target));
+        this->store.write("op/config", configuration(version, number, target));
     }
 
     // Waits for a line of the balancer's log with the event and the field's value.
@@ -141,14 +147,32 @@
     SmallFleet(const SmallFleet&) = delete;
     SmallFleet& operator=(const SmallFleet&) = delete;
 
+    // Starts another balancer, which reads another store, and waits until both have the same state.
+    void startPeerBalancer(const Endpoint& peerStore)
+    {
+        this->writeSettings("peer", this->network + 5, "grace-s=3", "", peerStore);
+        this->peer = std::make_unique<ChildProcess>(
+            "node-peer", std::vector<std::string> { NODE_BINARY, "balancer", "--settings", this->path("peer") });
+        this->peer->waitForEvent("ready");
+    }
+
+    // The value of the backend server's entry.
+    std::string hostValue(const std::string& state, int coldRemainingMs, std::int64_t born = 1790000000000) const
+    {
+        return fmt::format(R"({{"service":"job","address":"{}","zone":"a","version":"v1","slots":2,"state":"{}",)"
+                           R"("cold-remaining-ms":{},"seq":1,"born":{}}})",
+            formatEndpoint(this->hostAddress), state, coldRemainingMs, born);
+    }
+
     // Replaces the file atomically, as the platform does.
-    void writeSettings(
-        const std::string& role, std::uint32_t ip, const std::string& grace, const std::string& serviceLine) const
+    void writeSettings(const std::string& role, std::uint32_t ip, const std::string& grace,
+        const std::string& serviceLine, std::optional<Endpoint> otherStore = std::nullopt) const
     {
         const auto at = [ip](std::uint16_t port) { return formatEndpoint({ ip, port }); };
         std::string text = fmt::format("node-name={}-1\nzone=a\nip={}\nlisten.datagram-addr={}\nlisten.ready-addr={}\n"
                                        "internal-ports=7720,7735\nplatform.address={}\nbounds.{}\n",
-            role, formatAddress(ip), at(packetPort), at(8167), formatEndpoint(this->storeAddress), grace);
+            role, formatAddress(ip), at(packetPort), at(8167), formatEndpoint(otherStore.value_or(this->storeAddress)),
+            grace);
         if (!serviceLine.empty()) {
             text += fmt::format("app={}\nlisten.outbound={}\n{}\n", formatEndpoint(this->hostAddress),
                 formatEndpoint(this->outbound), serviceLine);
@@ -214,6 +238,7 @@
     UdpSocket hostSocket { this->hostAddress };
     std::unique_ptr<ChildProcess> agent;
     std::unique_ptr<ChildProcess> balancer;
+    std::unique_ptr<ChildProcess> peer;
 };
 
 bool isReset(const Bytes& packet) { return packet.size() == headerBytes && packet[flagsOffset] == flagReset; }
@@ -354,6 +379,37 @@
     fleet.checkServed(1);
 }
 
+// review/2: a watch answer that a partition had delayed returned a draining host to use, until the host exited.
+TEST_CASE("a late watch answer does not undo the newer state of a peer [DRAIN]")
+{
+    SmallFleet fleet;
+    StoreStandin peerStore({ fleet.network + 6, 8169 });
+    const auto writeHost = [&](const std::string& state, int coldRemainingMs) {
+        fleet.store.write("servers/i-1", fleet.hostValue(state, coldRemainingMs));
+        peerStore.write("servers/i-1", fleet.hostValue(state, coldRemainingMs));
+    };
+    // Both stores have the same changes, in the same order as the first one.
+    for (int revision = 1; revision <= 3; ++revision) {
+        peerStore.write("op/config", SmallFleet::configuration(4, 1, R"("service":"job")"));
+    }
+    fleet.writeConfiguration(4, 1, R"("service":"job")");
+    writeHost("ready", 900);
+    CHECK(fleet.balancerLogs("host_changed", "revision", 4));
+    fleet.startPeerBalancer({ fleet.network + 6, 8169 });
+    fleet.store.setHoldingWatches(true);
+    writeHost("ready", 100); // the answer with this revision is late
+    usleep(300000);
+    writeHost("draining", 0);
+    CHECK(fleet.balancerLogs("peer_state_taken", "revision", 6));
+    fleet.store.setHoldingWatches(false);
+    usleep(500000);
+    const auto states = fleet.balancer->events("host_changed");
+    REQUIRE_FALSE(states.empty());
+    CHECK(states.back().value("state", "") == "draining");
+    CHECK(isReset(fleet.answerToFirstPacket(fleet.service)));
+    CHECK(SmallFleet::receive(fleet.hostSocket, milliseconds(100)).empty());
+}
+
 TEST_CASE("a weighted route is served, and a service without a host leaves its share to the others [CONFIG]")
 {
     SmallFleet fleet;
--- a/test/integration/StoreStandin.cpp
+++ b/test/integration/StoreStandin.cpp
@@ -85,6 +85,13 @@
         this->changed.notify_all();
     }
 
+    void setHoldingWatches(bool isHolding)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->holdingWatches = isHolding;
+        this->changed.notify_all();
+    }
+
 private:
     static int handleRange(mg_connection* connection, void* data)
     {
@@ -109,8 +116,10 @@
         if (self.down) {
             return answer(connection, 503, "{}");
         }
-        return answer(connection, 200,
-            R"({"events":)" + self.itemsAfter(after) + R"(,"store-revision":)" + std::to_string(self.revision) + "}");
+        const std::string body
+            = R"({"events":)" + self.itemsAfter(after) + R"(,"store-revision":)" + std::to_string(self.revision) + "}";
+        self.changed.wait(lock, [&] { return self.down || !self.holdingWatches; });
+        return answer(connection, 200, body);
     }
 
     struct Item {
@@ -135,6 +144,7 @@
     std::map<std::string, Item> items;
     std::uint64_t revision { 0 };
     bool down { false };
+    bool holdingWatches { false };
     mg_context* server { nullptr };
 };
 
@@ -147,6 +157,8 @@
 
 void StoreStandin::write(const std::string& key, const std::string& value) { this->implementation->write(key, value); }
 
+void StoreStandin::setHoldingWatches(bool holding) { this->implementation->setHoldingWatches(holding); }
+
 void StoreStandin::writeItem(const std::string& key, const std::string& text)
 {
     this->implementation->writeItem(key, text);
--- a/test/integration/StoreStandin.h
+++ b/test/integration/StoreStandin.h
@@ -25,6 +25,10 @@
     // While down, every call, including pending watches, is answered with 503.
     void setDown(bool);
 
+    // While holding, answers to watches are made as usual but are delivered only afterwards, like those that a
+    // partition delays.
+    void setHoldingWatches(bool);
+
 private:
     class Implementation;
     std::unique_ptr<Implementation> implementation;
--- a/test/unit/EntriesOfOneMachineTest.cpp
+++ b/test/unit/EntriesOfOneMachineTest.cpp
@@ -173,7 +173,7 @@
     for (const DirectoryChange& change : snapshot->changes) {
         balancer.directory.apply(change, balancer.start);
     }
-    balancer.directory.endListing(balancer.start);
+    balancer.directory.endListing(0, balancer.start);
     balancer.directory.expire(balancer.start + HostDirectory::missingHostTimeout);
     useDirectory(balancer);
     report(balancer, "job");
--- a/test/unit/FleetSimulation.cpp
+++ b/test/unit/FleetSimulation.cpp
@@ -152,7 +152,7 @@
               std::chrono::duration_cast<milliseconds>(this->options.budget), 1 };
     balancer.directory->beginListing();
     balancer.directory->apply(RouteTableWritten { table }, this->now);
-    balancer.directory->endListing(this->now);
+    balancer.directory->endListing(0, this->now);
     std::vector<FlowPlacement::Agent> agents;
     for (std::size_t host = 0; host < this->hosts.size(); ++host) {
         const Endpoint address { firstHostAddress + static_cast<std::uint32_t>(host), peerPort };
--- a/test/unit/FlowSteeringSearchTest.cpp
+++ b/test/unit/FlowSteeringSearchTest.cpp
@@ -125,7 +125,7 @@
 {
     SteeringFixture balancer { 3 };
     balancer.directory.beginListing();
-    balancer.directory.endListing(balancer.start);
+    balancer.directory.endListing(0, balancer.start);
     balancer.sendLater();
     balancer.sendLater(milliseconds(200));
     REQUIRE(balancer.asked().size() == 3);
--- a/test/unit/HostDirectoryTest.cpp
+++ b/test/unit/HostDirectoryTest.cpp
@@ -91,7 +91,7 @@
     directory.apply(HostWritten { host("b", 2) }, start);
     directory.beginListing();
     directory.apply(HostWritten { host("b", 2) }, start);
-    directory.endListing(start);
+    directory.endListing(0, start);
     CHECK(directory.hosts().size() == 2);
     CHECK(directory.expire(start + HostDirectory::missingHostTimeout));
     REQUIRE(directory.hosts().size() == 1);
@@ -136,7 +136,7 @@
     directory.beginListing();
     directory.apply(HostWritten { host("a", 1) }, start);
     CHECK_FALSE(directory.isComplete());
-    directory.endListing(start);
+    directory.endListing(0, start);
     CHECK(directory.isComplete());
     directory.apply(HostRemoved { "a", false }, start);
     CHECK_FALSE(directory.isComplete());
--- a/test/unit/OddStoreEntriesTest.cpp
+++ b/test/unit/OddStoreEntriesTest.cpp
@@ -182,7 +182,7 @@
 {
     HostDirectory directory = read(parseListAnswer(listing({ itemText("servers/a", hostValue()) })));
     const HostDirectory::TimePoint start;
-    CHECK(directory.apply(HostRemoved { "a", true }, start) == HostDirectory::Effect::RefusedMalformed);
+    CHECK(directory.apply(HostRemoved { "a", true, 4 }, start) == HostDirectory::Effect::RefusedMalformed);
     CHECK(directory.hosts().size() == 1);
     CHECK(directory.expire(start + HostDirectory::missingHostTimeout));
     CHECK(directory.hosts().empty());
