Balancer: start times of hosts no longer order their entries

Callers saw: requests lost at a host that exited as planned.

Evidence: change_refused, older_version, for each entry of the new lifetime.

HostDirectoryTest: the check that an entry with an earlier start time is refused stated the fault. Two cases replace it: a delayed entry is refused by its revision, and a newer one with an earlier start time is applied.

--- a/src/state/HostDirectory.cpp
+++ b/src/state/HostDirectory.cpp
@@ -23,10 +23,6 @@
     if (!added && written.revision > 0 && written.revision == host.revision) {
         return Effect::None; // a peer's copy of the entry may have fewer fields
     }
-    // A delayed entry that the host wrote before its restart.
-    if (!added && entry.startedAtMs < host.entry.startedAtMs) {
-        return Effect::RefusedOlder;
-    }
     const bool changed = added || host.entry != entry || host.missingSince;
     host.revision = written.revision;
     host.missingSince.reset();
@@ -90,6 +86,10 @@
     if (leftRouted != rightRouted) {
         return leftRouted;
     }
+    if (left.revision != right.revision) {
+        return left.revision > right.revision;
+    }
+    // The start time is that of the machine's clock, which may be stepped back between two starts.
     if (left.entry.startedAtMs != right.entry.startedAtMs) {
         return left.entry.startedAtMs > right.entry.startedAtMs;
     }
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -76,7 +76,7 @@
 
     // All backend servers, ordered by the address of their machine. Several entries can name one machine: those of
     // successive hosts, or one of another writer. The most plausible is the first of its machine: one of a service that
-    // a route in force names, and of these the one that started last.
+    // a route in force names, and of these the one written last.
     std::vector<const KnownHost*> hosts() const;
 
     // Running hosts have rewritten their entries about 2 s after the store comes back; a host that has stopped must be
--- a/test/integration/NodeProcessesTest.cpp
+++ b/test/integration/NodeProcessesTest.cpp
@@ -379,6 +379,18 @@
     fleet.checkServed(1);
 }
 
+// review/3: all entries of the new lifetime were refused, so that a draining host stayed in use.
+TEST_CASE("a host that restarts while its clock is stepped back is followed [DRAIN]")
+{
+    SmallFleet fleet;
+    fleet.checkServed(1);
+    fleet.store.write("servers/i-1", fleet.hostValue("ready", 2000, 1789999997600));
+    fleet.store.write("servers/i-1", fleet.hostValue("draining", 0, 1789999997600));
+    CHECK(fleet.balancerLogs("host_changed", "state", "draining"));
+    CHECK(isReset(fleet.answerToFirstPacket(fleet.service)));
+    CHECK(SmallFleet::receive(fleet.hostSocket, milliseconds(100)).empty());
+}
+
 // review/2: a watch answer that a partition had delayed returned a draining host to use, until the host exited.
 TEST_CASE("a late watch answer does not undo the newer state of a peer [DRAIN]")
 {
--- a/test/unit/HostDirectoryTest.cpp
+++ b/test/unit/HostDirectoryTest.cpp
@@ -79,8 +79,31 @@
     REQUIRE(directory.hosts().size() == 2);
     CHECK(directory.hosts().front()->entry.service == "drawing");
     CHECK(directory.hosts().back()->entry.id == "old");
-    // The entry of an earlier lifetime with the same id arrives late.
-    CHECK(directory.apply(HostWritten { host("new", 1, 50) }, start) == HostDirectory::Effect::RefusedOlder);
+}
+
+// Guards against a delayed entry that a host wrote before its restart under the same id.
+TEST_CASE("the entry of an earlier lifetime is refused when it arrives late")
+{
+    HostDirectory directory;
+    directory.apply(HostWritten { host("a", 1, 200), 9 }, start);
+    CHECK(directory.apply(HostWritten { host("a", 1, 50), 8 }, start) == HostDirectory::Effect::RefusedOlder);
+    CHECK(directory.hosts().front()->entry.startedAtMs == 200);
+}
+
+// review/3 (DRAIN): after the clock of its machine was stepped back, a restarted host's entries were all refused, its
+// report that it is draining among them.
+TEST_CASE("a host whose clock was stepped back between two starts is followed")
+{
+    HostDirectory directory;
+    directory.apply(HostWritten { host("a", 1, 2400), 5 }, start);
+    CHECK(directory.apply(HostWritten { host("a", 1, 500), 6 }, start) == HostDirectory::Effect::HostsChanged);
+    HostEntry draining = host("a", 1, 500);
+    draining.draining = true;
+    CHECK(directory.apply(HostWritten { draining, 7 }, start) == HostDirectory::Effect::HostsChanged);
+    CHECK(directory.hosts().front()->entry.draining);
+    // The same for a host that starts again under another id.
+    directory.apply(HostWritten { host("b", 1, 100), 8 }, start);
+    CHECK(directory.hosts().front()->entry.id == "b");
 }
 
 // Guards against hosts that stay in use although a full listing no longer contains them.
