Balancer: changes of the store above 4 MB are read by a listing

Cause: a watch answer has every change since the last one and can exceed the limit of an answer, which is sized for a page of a listing. StoreReader took this for a failure of the store and repeated the same watch.

Change: such an answer is followed by a listing, as when the history is gone. The store stand-in now answers listings in pages of 1 MB, as the platform does.

--- a/src/app/StoreReader.cpp
+++ b/src/app/StoreReader.cpp
@@ -35,7 +35,9 @@
 // Keys in the store have at most 200 bytes; longer names are truncated in log lines.
 constexpr std::size_t maximumLoggedEntry = 200;
 
-// Exceeds a page of the store, which holds at most 1 MB of values, encoded as base64.
+// Bounds the memory for an answer, as a process has as little as 64 MB. Exceeds a page of a listing, which holds at
+// most 1 MB of values, encoded as base64. A watch answer has no limit, because it contains each change since the last
+// one.
 constexpr std::size_t maximumAnswerBytes = 4'000'000;
 
 }
@@ -178,17 +180,18 @@
 {
     const auto now = std::chrono::steady_clock::now();
     this->finishedExchange = std::move(this->exchange);
-    if (result.status == 0) {
-        this->handleFailure(result.step, result.reason, now);
-        return;
-    }
-    if (result.status == httpGone && !this->listing) {
-        this->log.log(EventLog::Importance::Notable, "store_history_gone",
+    if (!this->listing && (result.status == httpGone || result.tooLarge)) {
+        // The same watch would fail again; a listing has each entry once.
+        this->log.log(EventLog::Importance::Notable, result.tooLarge ? "store_changes_too_large" : "store_history_gone",
             { { "revision", static_cast<std::int64_t>(this->directory.revision()) } });
         this->listing = true;
         this->nextCall = now;
         return;
     }
+    if (result.status == 0) {
+        this->handleFailure(result.step, result.reason, now);
+        return;
+    }
     if (result.status != httpOk) {
         this->handleFailure("read store", "HTTP status " + std::to_string(result.status), now);
         return;
--- a/src/transport/HttpExchange.cpp
+++ b/src/transport/HttpExchange.cpp
@@ -140,7 +140,7 @@
             return;
         }
         if (!this->parser->feed({ chunk.data(), static_cast<std::size_t>(count) })) {
-            this->end({ 0, "", "read answer", this->parser->errorDescription() });
+            this->end({ 0, "", "read answer", this->parser->errorDescription(), this->parser->tooLarge });
             return;
         }
         if (this->parser->complete) {
--- a/src/transport/HttpExchange.h
+++ b/src/transport/HttpExchange.h
@@ -21,6 +21,7 @@
         std::string body;
         std::string step; // at which the exchange failed, when there is no answer
         std::string reason;
+        bool tooLarge { false }; // the body exceeds the limit
     };
 
     // onResult is called once from the loop, unless this object is destroyed earlier; it may destroy this object.
--- a/test/integration/NodeProcessesTest.cpp
+++ b/test/integration/NodeProcessesTest.cpp
@@ -391,6 +391,23 @@
     CHECK(SmallFleet::receive(fleet.hostSocket, milliseconds(100)).empty());
 }
 
+// review/4: the same watch was repeated for ever, and the old configuration stayed in force.
+TEST_CASE("changes above the limit of an answer are read by a listing [CONFIG]")
+{
+    SmallFleet fleet;
+    fleet.store.setDown(true);
+    fleet.balancer->waitForEvent("store_lost");
+    // Each value is below the limit of a value, 1 MB; their sum exceeds that of an answer, 4 MB.
+    const std::string padding(900000, 'x');
+    for (int number = 0; number < 5; ++number) {
+        fleet.store.write(fmt::format("padding/{}", number), padding);
+    }
+    fleet.writeConfiguration(9, 2, R"("service":"job")");
+    fleet.store.setDown(false);
+    CHECK(fleet.balancerLogs("configuration_in_force", "configuration", 9));
+    fleet.checkServed(2);
+}
+
 // review/2: a watch answer that a partition had delayed returned a draining host to use, until the host exited.
 TEST_CASE("a late watch answer does not undo the newer state of a peer [DRAIN]")
 {
--- a/test/integration/StoreStandin.cpp
+++ b/test/integration/StoreStandin.cpp
@@ -1,5 +1,6 @@
 #include "StoreStandin.h"
 
+#include <algorithm>
 #include <chrono>
 #include <civetweb.h>
 #include <condition_variable>
@@ -15,12 +16,22 @@
 
 using nlohmann::json;
 
-std::uint64_t queryNumber(const mg_request_info& request, const char* name)
+// Size from which a page of a listing is full, as on the platform.
+constexpr std::size_t pageBytes = 1'000'000;
+
+// Returns the value of a parameter, empty if it is missing.
+std::string queryText(const mg_request_info& request, const char* name)
 {
     const std::string query = request.query_string == nullptr ? "" : request.query_string;
-    std::string value(32, '\0');
+    std::string value(1024, '\0');
     const int length = mg_get_var(query.data(), query.size(), name, value.data(), value.size());
-    return length <= 0 ? 0 : std::strtoull(value.c_str(), nullptr, 10);
+    value.resize(static_cast<std::size_t>(std::max(0, length)));
+    return value;
+}
+
+std::uint64_t queryNumber(const mg_request_info& request, const char* name)
+{
+    return std::strtoull(queryText(request, name).c_str(), nullptr, 10);
 }
 
 int answer(mg_connection* connection, int status, const std::string& body)
@@ -100,9 +111,14 @@
         if (self.down) {
             return answer(connection, 503, "{}");
         }
+        std::string list = "[";
+        auto item = self.items.upper_bound(queryText(*mg_get_request_info(connection), "after"));
+        for (; item != self.items.end() && list.size() < pageBytes; ++item) {
+            list += (list.size() > 1 ? "," : "") + item->second.text;
+        }
         return answer(connection, 200,
-            R"({"items":)" + self.itemsAfter(0) + R"(,"truncated":false,"store-revision":)"
-                + std::to_string(self.revision) + "}");
+            R"({"items":)" + list + R"(],"truncated":)" + (item == self.items.end() ? "false" : "true")
+                + R"(,"store-revision":)" + std::to_string(self.revision) + "}");
     }
 
     static int handleWatch(mg_connection* connection, void* data)
