Balancer: a peer's state without hosts that have just expired is not complete

A balancer that starts then took the directory for complete and could reset open flows of such a host as not found, though it was running.

The new case of FlowSteeringSearchTest failed with the field always false and passes now.

--- a/src/app/DirectorySnapshot.cpp
+++ b/src/app/DirectorySnapshot.cpp
@@ -76,6 +76,7 @@
         item.set_timeout_ms(static_cast<std::uint32_t>(route.timeout.count()));
         item.set_priority(route.priority);
     }
+    snapshot.set_incomplete(!directory.isComplete());
     for (const KnownHost* host : directory.hosts()) {
         if (host->missingSince) {
             continue;
@@ -102,6 +103,7 @@
     }
     DirectorySnapshot result;
     result.revision = snapshot.revision();
+    result.incomplete = snapshot.incomplete();
     if (snapshot.configuration_version() > 0) {
         result.changes.emplace_back(RouteTableWritten { readRoutes(snapshot) });
     }
--- a/src/app/DirectorySnapshot.h
+++ b/src/app/DirectorySnapshot.h
@@ -15,6 +15,7 @@
 struct DirectorySnapshot {
     std::uint64_t revision { 0 };
     std::vector<DirectoryChange> changes; // together the complete directory
+    bool incomplete { false }; // running hosts may be left out
 };
 
 std::string encodeSnapshot(const HostDirectory&, std::uint64_t revision);
--- a/src/app/StoreReader.cpp
+++ b/src/app/StoreReader.cpp
@@ -133,6 +133,9 @@
     if (this->directory.endListing(snapshot->revision, now)) {
         this->onChange();
     }
+    if (snapshot->incomplete) {
+        this->directory.markIncomplete(now);
+    }
     this->log.log(EventLog::Importance::Notable, "peer_state_taken",
         { { "peer", formatEndpoint(this->fetchPeer) }, { "revision", static_cast<std::int64_t>(snapshot->revision) },
             { "configuration", static_cast<std::int64_t>(this->directory.routes().version) } });
--- a/src/state/HostDirectory.cpp
+++ b/src/state/HostDirectory.cpp
@@ -141,14 +141,17 @@
 bool HostDirectory::isComplete() const
 {
     // While the entry of a known host is missing, those of running hosts that this process has not read may be, too.
-    return this->complete && std::none_of(this->known.begin(), this->known.end(), [](const auto& item) {
-        return item.second.missingSince.has_value();
-    });
+    return this->complete && !this->incompleteSince
+        && std::none_of(this->known.begin(), this->known.end(),
+            [](const auto& item) { return item.second.missingSince.has_value(); });
 }
 
 bool HostDirectory::expire(TimePoint now)
 {
     std::erase_if(this->removedRoutes, [&](const auto& item) { return now - item.second > removedRouteRetention; });
+    if (this->incompleteSince && now - *this->incompleteSince >= missingHostTimeout) {
+        this->incompleteSince.reset();
+    }
     return std::erase_if(this->known, [&](const auto& item) {
         return item.second.missingSince && now - *item.second.missingSince >= missingHostTimeout;
     }) > 0;
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -60,6 +60,10 @@
     // Whether every running host is known: the whole store has been read once, and no host is missing at present.
     bool isComplete() const;
 
+    // The last listing left out hosts that are missing at the peer that sent it. They are known or gone after
+    // missingHostTimeout.
+    void markIncomplete(TimePoint now) { this->incompleteSince = now; }
+
     // Removes hosts that have been missing for at least missingHostTimeout, and forgets routes that were removed more
     // than removedRouteRetention ago. Returns whether hosts were removed.
     bool expire(TimePoint now);
@@ -101,6 +105,7 @@
     bool isListing { false };
     std::set<std::string> listed;
     bool complete { false };
+    std::optional<TimePoint> incompleteSince;
 };
 
 }
--- a/test/unit/FlowSteeringSearchTest.cpp
+++ b/test/unit/FlowSteeringSearchTest.cpp
@@ -1,4 +1,5 @@
 #include "SteeringFixture.h"
+#include "app/DirectorySnapshot.h"
 
 #include <doctest/doctest.h>
 
@@ -166,6 +167,35 @@
     }
 }
 
+// Guards against FLOW: a balancer that starts while entries of running hosts have expired, as after an outage of the
+// store, takes the state of a peer that leaves these hosts out, and takes their open flows for lost.
+TEST_CASE("an open flow is not reset while a host is missing at the peer whose state was taken")
+{
+    HostDirectory peer;
+    peer.beginListing();
+    peer.apply(HostWritten { { "gone", "job", { 9, 8080 }, "zone", 2, false, {}, 0 }, 5 }, {});
+    peer.endListing(5, {});
+    const auto resetAfter = [&](milliseconds delay) {
+        SteeringFixture balancer { 1 };
+        const auto snapshot = decodeSnapshot(encodeSnapshot(peer, 6));
+        REQUIRE(snapshot);
+        balancer.directory.beginListing();
+        balancer.directory.endListing(snapshot->revision, balancer.start);
+        if (snapshot->incomplete) {
+            balancer.directory.markIncomplete(balancer.start);
+        }
+        balancer.directory.expire(balancer.start + delay);
+        balancer.sendLater(delay);
+        balancer.sendLater(delay + milliseconds(200));
+        balancer.receiveVerdict({ 1, 7000 }, FlowVerdict::NotFound, delay + milliseconds(202));
+        return balancer.resets();
+    };
+    CHECK(resetAfter(milliseconds(0)));
+    peer.apply(HostRemoved { "gone", false, 6 }, {});
+    CHECK_FALSE(resetAfter(milliseconds(0)));
+    CHECK(resetAfter(HostDirectory::missingHostTimeout));
+}
+
 // Guards against FLOW: a balancer that has not read every host yet takes a flow at an unread host for lost.
 TEST_CASE("an open flow is not reset before the whole store has been read")
 {
