--- a/src/coordination/FlowPlacement.h
+++ b/src/coordination/FlowPlacement.h
@@ -47,7 +47,7 @@
         std::string host; // id of the entry in use
         std::string service;
         std::size_t entries { 0 }; // number of entries that name the agent
-        bool reported { false }; // the agent reports this service
+        bool reported { false }; // the agent reports this service; false: none of the entries' services so far
     };
 
     FlowPlacement(std::string availabilityZone, std::uint64_t seed);
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -44,7 +44,7 @@
     // Store revision up to which all changes are known; 0 before the first listing.
     std::uint64_t revision() const { return this->knownRevision; }
 
-    // All changes up to the revision have been applied.
+    // Records that all changes up to the revision have been applied.
     void advanceTo(std::uint64_t revision) { this->knownRevision = std::max(this->knownRevision, revision); }
 
     // Delimit a full listing of the store or of a peer's directory, which has all changes up to `revision`: hosts
@@ -54,14 +54,14 @@
     void beginListing();
     // Returns whether hosts were removed.
     bool endListing(std::uint64_t revision, TimePoint now);
-    // Ends a listing that does not show which hosts are missing.
+    // Ends a listing of which not all pages could be read, so that it does not show which hosts are missing.
     void abandonListing() { this->isListing = false; }
 
     // Whether every running host is known: the whole store has been read once, and no host is missing at present.
     bool isComplete() const;
 
-    // The last listing left out hosts that are missing at the peer that sent it. They are known or gone after
-    // missingHostTimeout.
+    // Records that the last listing was a peer's and left out hosts that are missing there. After missingHostTimeout
+    // these have written their entries again or are gone.
     void markIncomplete(TimePoint now) { this->incompleteSince = now; }
 
     // Removes hosts that have been missing for at least missingHostTimeout, and forgets routes that were removed more
