--- a/src/protocol/HostEntry.h
+++ b/src/protocol/HostEntry.h
@@ -17,9 +17,7 @@
     std::uint32_t slots { 1 };
     bool draining { false };
     std::chrono::milliseconds coldRemaining { 0 }; // remaining cold-start time when the entry was published
-    std::int64_t startedAtMs {
-        0
-    }; // Unix time in milliseconds by the clock of the host's machine, which may be stepped
+    std::int64_t startedAtMs { 0 }; // Unix time in milliseconds by the machine's clock, which may be stepped
 
     auto operator<=>(const HostEntry&) const = default;
 };
