Balancer: the owner of an open flow is asked for with small messages, packets wait

Cause: a packet of a flow whose owner was unknown was copied to each agent of the service, after 150 ms to all agents, with each retransmission. After a planned restart of balancers the copies filled links of 10 Mbit/s; late verdicts started more searches. Change: flows are placed among eight candidates by rendezvous hashing, so that any balancer knows whom to ask; FlowQuery asks 12 likely owners, then 18, then all within a tenth of the link; an agent that started with the whole system never says may_hold; an agent adopts flows on which its backend server sends data. Tests that stated the old search were replaced: what was a copy of the packet is now a query, and that no packet goes to an agent before it says that it has the flow is checked as well.

--- a/src/app/AgentNode.cpp
+++ b/src/app/AgentNode.cpp
@@ -44,6 +44,13 @@
 // The process exits at the latest this long before the platform kills it.
 constexpr milliseconds stopMargin { 700 };
 
+// Start time from which on the agent has seen every flow that its backend server can hold.
+std::chrono::steady_clock::time_point knownSince(const NodeSettings& settings)
+{
+    const auto now = std::chrono::steady_clock::now();
+    return settings.firstStart ? now - settings.flowLifetime - std::chrono::seconds(1) : now;
+}
+
 }
 
 AgentNode::AgentNode(NodeSettings nodeSettings, std::string settingsPath)
@@ -52,7 +59,7 @@
     , peerSocket(this->settings.packetAddress)
     , backendServerSocket(this->settings.backendOutbound)
     , admission(drawRandomNumber(), serviceHash(this->settings.service), platform::parseRequestMetadata,
-          platform::parseAnswerMetadata, std::chrono::steady_clock::now(), this->settings.flowLifetime)
+          platform::parseAnswerMetadata, knownSince(this->settings), this->settings.flowLifetime)
     , reload(std::move(settingsPath), platform::readSettingsFile, this->settings, this->log, this->metrics,
           [this](const NodeSettings& next) { this->onSettings(next); })
 {
@@ -76,8 +83,8 @@
     balancer.verdicts.push_back({ verdict.flow, verdict.verdict });
     this->metrics.events("verdict_" + std::string(flowVerdictName(verdict.verdict))).Increment();
     const AgentLoad load = this->admission.currentLoad(now);
-    const bool isRefusal = verdict.verdict > FlowVerdict::Owned;
-    this->log.log(isRefusal ? EventLog::Importance::Notable : EventLog::Importance::Routine, "flow_verdict",
+    this->log.log(isRefusal(verdict.verdict) ? EventLog::Importance::Notable : EventLog::Importance::Routine,
+        "flow_verdict",
         { { "flow", formatFlow(verdict.flow) }, { "verdict", flowVerdictName(verdict.verdict) },
             { "expected_wait_us", verdict.expectedWait.count() }, { "held_us", verdict.held.count() },
             { "working", load.working }, { "opening", load.opening }, { "held", load.held },
@@ -168,6 +175,9 @@
             balancer.lastHeard = now;
             if (const auto* steered = std::get_if<SteerPacket>(&*message)) {
                 this->handleSteeredPacket(datagram.source, *steered, now);
+            } else if (const auto* query = std::get_if<FlowQuery>(&*message)) {
+                this->admission.handleQuery(datagram.source, *query, now, this->actions);
+                this->perform(now);
             } else {
                 balancer.reportDue = true;
             }
@@ -308,8 +318,8 @@
     this->ready = true;
     this->log.log(EventLog::Importance::Notable, "started",
         { { "peers", formatEndpoint(this->settings.packetAddress) },
-            { "backend_server", formatEndpoint(this->settings.backendServer) },
-            { "service", this->settings.service } });
+            { "backend_server", formatEndpoint(this->settings.backendServer) }, { "service", this->settings.service },
+            { "first_start", this->settings.firstStart ? 1 : 0 } });
     this->loop.add(this->peerSocket.descriptor(), EPOLLIN, [this](std::uint32_t) { this->receivePeerMessages(); });
     this->loop.add(this->backendServerSocket.descriptor(), EPOLLIN,
         [this](std::uint32_t) { this->receiveBackendServerPackets(); });
--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -70,7 +70,7 @@
     , reload(std::move(settingsPath), platform::readSettingsFile, this->settings, this->log, this->metrics,
           [this](const NodeSettings& next) { this->onSettings(next); })
     , placement(this->settings.availabilityZone, this->incarnation)
-    , steering(this->directory, this->placement)
+    , steering(this->directory, this->placement, this->settings.linkBytesPerSecond)
     , reader(
           this->settings.store, this->loop, this->directory, this->log, this->metrics, this->incarnation,
           [this] { this->onDirectoryChange(); },
@@ -188,15 +188,43 @@
     if (packet.purpose == SteeringPurpose::KnownFlow) {
         return;
     }
-    if (const auto decoded = platform::decodePacket(packet.datagram)) {
-        const bool opens = packet.purpose == SteeringPurpose::NewFlow;
-        this->log.log(EventLog::Importance::Routine, opens ? "flow_offered" : "flow_searched",
-            { { "flow", formatFlow(decoded->keyFromCaller()) }, { "agent", formatEndpoint(packet.agent) },
-                { "wait_limit_ms", packet.waitLimit.count() }, { "expected_wait_us", packet.expectedWait.count() },
-                { "load_age_ms", packet.loadAge.count() }, { "copy", opens ? decoded->acknowledgement : 0 },
-                { "recover", packet.purpose == SteeringPurpose::Recover ? 1 : 0 },
-                { "configuration", static_cast<std::int64_t>(this->directory.routes().version) } });
+    const auto decoded = platform::decodePacket(packet.datagram);
+    if (!decoded) {
+        return;
+    }
+    if (packet.purpose == SteeringPurpose::Recover) {
+        this->metrics.events("flow_tried").Increment();
+        this->log.log(EventLog::Importance::Routine, "flow_tried",
+            { { "flow", formatFlow(decoded->keyFromCaller()) }, { "agent", formatEndpoint(packet.agent) } });
+        return;
+    }
+    this->log.log(EventLog::Importance::Routine, "flow_offered",
+        { { "flow", formatFlow(decoded->keyFromCaller()) }, { "agent", formatEndpoint(packet.agent) },
+            { "wait_limit_ms", packet.waitLimit.count() }, { "expected_wait_us", packet.expectedWait.count() },
+            { "load_age_ms", packet.loadAge.count() }, { "copy", decoded->acknowledgement },
+            { "configuration", static_cast<std::int64_t>(this->directory.routes().version) } });
+}
+
+void BalancerNode::sendQuery(const AskAgents& question)
+{
+    const auto datagram = this->messages.encode(question.query);
+    for (const Endpoint& agent : question.agents) {
+        this->peerSocket.queue(agent, 0, datagram);
     }
+    this->peerSocket.flush(); // the socket refers to the datagram
+    this->metrics.events("flow_query").Increment(static_cast<double>(question.agents.size()));
+    this->log.log(EventLog::Importance::Routine, "flow_searched",
+        { { "flow", formatFlow(question.query.flow) }, { "stage", static_cast<int>(question.stage) + 1 },
+            { "agents", static_cast<std::int64_t>(question.agents.size()) },
+            { "hosts_complete", this->directory.isComplete() ? 1 : 0 } });
+}
+
+void BalancerNode::logFailedSearch(const ReportFailedSearch& search)
+{
+    this->metrics.refusals("search flow", std::string(search.reason)).Increment();
+    this->log.log(EventLog::Importance::Notable, "search_failed",
+        { { "flow", formatFlow(search.flow) }, { "reason", search.reason },
+            { "hosts_complete", this->directory.isComplete() ? 1 : 0 } });
 }
 
 void BalancerNode::sendReset(const SendReset& action)
@@ -237,6 +265,8 @@
                        [this](const SendReset& flow) { this->sendReset(flow); },
                        [this](const WithholdReset& flow) { this->logWithheldReset(flow); },
                        [this](const ReportSkippedService& flow) { this->logSkippedService(flow); },
+                       [this](const AskAgents& question) { this->sendQuery(question); },
+                       [this](const ReportFailedSearch& search) { this->logFailedSearch(search); },
                    },
             action);
     }
@@ -280,7 +310,7 @@
     for (const VerdictMessage& item : message.verdicts) {
         this->steering.handleVerdict(agent, item.flow, item.verdict, now, this->actions);
         this->perform();
-        if (item.verdict > FlowVerdict::Owned) {
+        if (isRefusal(item.verdict)) {
             this->metrics.retries("steer flow", std::string(flowVerdictName(item.verdict))).Increment();
             this->log.log(EventLog::Importance::Notable, "flow_refused_by_agent",
                 { { "flow", formatFlow(item.flow) }, { "agent", formatEndpoint(agent) },
@@ -301,12 +331,12 @@
         const auto now = std::chrono::steady_clock::now();
         for (const ReceivedDatagram& datagram : datagrams) {
             const auto message = this->messages.decode(datagram.bytes);
-            if (!message || std::holds_alternative<SteerPacket>(*message)) {
-                this->metrics.drops("take message", "malformed").Increment();
-            } else if (const auto* report = std::get_if<ReportMessage>(&*message)) {
-                this->handleReport(datagram.source, *report, now);
-            } else {
+            if (message && std::holds_alternative<ReportMessage>(*message)) {
+                this->handleReport(datagram.source, std::get<ReportMessage>(*message), now);
+            } else if (message && std::holds_alternative<HelloMessage>(*message)) {
                 this->handleHello(datagram.source, std::get<HelloMessage>(*message), now);
+            } else {
+                this->metrics.drops("take message", "malformed").Increment();
             }
         }
     }
--- a/src/app/BalancerNode.h
+++ b/src/app/BalancerNode.h
@@ -48,6 +48,8 @@
     void sendReset(const SendReset&);
     void logWithheldReset(const WithholdReset&);
     void logSkippedService(const ReportSkippedService&);
+    void sendQuery(const AskAgents&);
+    void logFailedSearch(const ReportFailedSearch&);
     void detectPause(std::chrono::nanoseconds now);
     void tick(TimePoint now);
     void sendHellos(TimePoint now);
--- a/src/app/NodeSettings.h
+++ b/src/app/NodeSettings.h
@@ -26,6 +26,9 @@
     Endpoint backendServer; // receives packets
     Endpoint backendOutbound; // where this process receives the backend server's packets
 
+    double linkBytesPerSecond { 125'000'000 }; // capacity of the instance's link
+    bool firstStart { false }; // the whole system starts for the first time, so that no flow can be open
+
     std::chrono::milliseconds stopGrace { 6000 }; // time between SIGTERM and SIGKILL
     std::chrono::milliseconds flowLifetime { 60000 }; // flows older than this may be discarded
 
--- a/src/app/SteeringMessages.cpp
+++ b/src/app/SteeringMessages.cpp
@@ -14,7 +14,7 @@
 // Upper bound for plausibility; a report with more slots is rejected as malformed.
 constexpr std::uint32_t maximumSlots = 1'000'000;
 
-constexpr std::array<std::pair<wire::FlowVerdict::Verdict, FlowVerdict>, 8> verdicts { {
+constexpr std::array<std::pair<wire::FlowVerdict::Verdict, FlowVerdict>, 10> verdicts { {
     { wire::FlowVerdict::ADMITTED, FlowVerdict::Admitted },
     { wire::FlowVerdict::OWNED, FlowVerdict::Owned },
     { wire::FlowVerdict::REFUSED_FULL, FlowVerdict::RefusedFull },
@@ -23,6 +23,8 @@
     { wire::FlowVerdict::WRONG_SERVICE, FlowVerdict::WrongService },
     { wire::FlowVerdict::NOT_FOUND, FlowVerdict::NotFound },
     { wire::FlowVerdict::LOST, FlowVerdict::Lost },
+    { wire::FlowVerdict::MAY_HOLD, FlowVerdict::MayHold },
+    { wire::FlowVerdict::REFUSED_EVACUATED, FlowVerdict::RefusedEvacuated },
 } };
 
 wire::SteeredPacket::Purpose toWire(SteeringPurpose purpose)
@@ -30,8 +32,6 @@
     switch (purpose) {
     case SteeringPurpose::NewFlow:
         return wire::SteeredPacket::NEW_FLOW;
-    case SteeringPurpose::Search:
-        return wire::SteeredPacket::SEARCH;
     case SteeringPurpose::Recover:
         return wire::SteeredPacket::RECOVER;
     case SteeringPurpose::KnownFlow:
@@ -45,8 +45,6 @@
     switch (purpose) {
     case wire::SteeredPacket::NEW_FLOW:
         return SteeringPurpose::NewFlow;
-    case wire::SteeredPacket::SEARCH:
-        return SteeringPurpose::Search;
     case wire::SteeredPacket::RECOVER:
         return SteeringPurpose::Recover;
     default:
@@ -54,6 +52,20 @@
     }
 }
 
+FlowKey readFlow(const wire::SteeredFlow& flow)
+{
+    return { { flow.caller_address(), static_cast<std::uint16_t>(flow.caller_port()) },
+        { flow.service_address(), static_cast<std::uint16_t>(flow.service_port()) } };
+}
+
+void writeFlow(const FlowKey& key, wire::SteeredFlow& flow)
+{
+    flow.set_caller_address(key.caller.address);
+    flow.set_caller_port(key.caller.port);
+    flow.set_service_address(key.service.address);
+    flow.set_service_port(key.service.port);
+}
+
 std::optional<ReportMessage> readReport(const wire::AgentReport& report)
 {
     if (report.slots() == 0 || report.slots() > maximumSlots) {
@@ -67,11 +79,7 @@
     for (const wire::FlowVerdict& item : report.verdicts()) {
         for (const auto& [wireVerdict, verdict] : verdicts) {
             if (item.verdict() == wireVerdict) {
-                const wire::SteeredFlow& flow = item.flow();
-                message.verdicts.push_back(
-                    { { { flow.caller_address(), static_cast<std::uint16_t>(flow.caller_port()) },
-                          { flow.service_address(), static_cast<std::uint16_t>(flow.service_port()) } },
-                        verdict });
+                message.verdicts.push_back({ readFlow(item.flow()), verdict });
             }
         }
     }
@@ -126,10 +134,7 @@
     report.mutable_balancers()->Add(message.balancers.begin(), message.balancers.end());
     for (const VerdictMessage& verdict : message.verdicts) {
         wire::FlowVerdict& item = *report.add_verdicts();
-        item.mutable_flow()->set_caller_address(verdict.flow.caller.address);
-        item.mutable_flow()->set_caller_port(verdict.flow.caller.port);
-        item.mutable_flow()->set_service_address(verdict.flow.service.address);
-        item.mutable_flow()->set_service_port(verdict.flow.service.port);
+        writeFlow(verdict.flow, *item.mutable_flow());
         for (const auto& [wireVerdict, value] : verdicts) {
             if (value == verdict.verdict) {
                 item.set_verdict(wireVerdict);
@@ -150,6 +155,17 @@
     return this->encodeHeader();
 }
 
+std::vector<std::uint8_t> SteeringMessages::encode(const FlowQuery& message)
+{
+    wire::FlowQuery& query = *this->header->mutable_query();
+    query.Clear();
+    writeFlow(message.flow, *query.mutable_flow());
+    if (message.acknowledgement) {
+        query.set_acknowledgement(*message.acknowledgement);
+    }
+    return this->encodeHeader();
+}
+
 std::optional<SteeringMessage> SteeringMessages::decode(std::span<const std::uint8_t> datagram)
 {
     const auto payload = decodeHeaderFrame(datagram, maximumHeaderBytes, *this->header);
@@ -171,6 +187,11 @@
         return HelloMessage { { hello.lifetime(), hello.revision(), hello.store_available() },
             { hello.balancers().begin(), hello.balancers().end() } };
     }
+    if (this->header->has_query()) {
+        const wire::FlowQuery& query = this->header->query();
+        return FlowQuery { readFlow(query.flow()),
+            query.has_acknowledgement() ? std::optional(query.acknowledgement()) : std::nullopt };
+    }
     return std::nullopt;
 }
 
--- a/src/app/SteeringMessages.h
+++ b/src/app/SteeringMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/AgentLoad.h"
+#include "coordination/FlowQuery.h"
 #include "coordination/FlowVerdict.h"
 #include "coordination/SteeringAction.h"
 #include "state/FlowKey.h"
@@ -40,7 +41,7 @@
 };
 
 // In a decoded SteerPacket the agent address is 0, because the agent is the receiver.
-using SteeringMessage = std::variant<SteerPacket, ReportMessage, HelloMessage>;
+using SteeringMessage = std::variant<SteerPacket, ReportMessage, HelloMessage, FlowQuery>;
 
 // Encodes and decodes the datagrams between balancers and agents. Reuses its buffers and is not thread-safe.
 class SteeringMessages {
@@ -54,6 +55,7 @@
     // Return complete datagrams. A report may hold at most maximumVerdicts verdicts.
     std::vector<std::uint8_t> encode(const ReportMessage&);
     std::vector<std::uint8_t> encode(const HelloMessage&);
+    std::vector<std::uint8_t> encode(const FlowQuery&);
 
     // Returns std::nullopt if the datagram is malformed. The datagram of a returned SteerPacket points into the
     // argument.
--- a/src/coordination/FlowPlacement.cpp
+++ b/src/coordination/FlowPlacement.cpp
@@ -27,6 +27,15 @@
 constexpr double unknownCostMs = 200.0;
 constexpr double silentCostMs = 10000.0;
 
+// Candidates of a flow in the own availability zone and in the others. With four in each, all slots of a service that
+// is half used are taken at every candidate for about one flow in 10,000, and the first choice of a flow remains among
+// few agents that another balancer can ask.
+constexpr std::size_t candidatesNearAndFar = 4;
+
+// Agents asked for a flow are more than those at which it is placed, because agents have joined since, and because
+// draining agents are ranked here but not at the placement.
+constexpr std::size_t likelyOwnersNearAndFar = 6;
+
 double milliseconds(std::chrono::microseconds duration) { return static_cast<double>(duration.count()) / 1000.0; }
 
 }
@@ -69,7 +78,7 @@
 {
     this->byService.clear();
     for (const auto& [address, state] : this->states) {
-        this->byService[state.host().service].push_back(address);
+        this->byService[state.host().service].add(address, state.host().availabilityZone);
     }
 }
 
@@ -155,19 +164,27 @@
 }
 
 std::optional<PlacementChoice> FlowPlacement::choose(
-    std::string_view service, FlowUrgency urgency, std::span<const Endpoint> tried, TimePoint now)
+    std::string_view service, const FlowKey& flow, FlowUrgency urgency, std::span<const Endpoint> tried, TimePoint now)
 {
-    const auto agents = this->byService.find(service);
-    if (agents == this->byService.end()) {
+    const auto ranking = this->byService.find(service);
+    if (ranking == this->byService.end()) {
         return std::nullopt;
     }
+    const auto isTried
+        = [&](const Endpoint& agent) { return std::find(tried.begin(), tried.end(), agent) != tried.end(); };
+    const auto isCandidate = [this](const Endpoint& agent) { return isUsable(this->states.at(agent)); };
+    auto candidates = ranking->second.nearest(flow, this->availabilityZone, candidatesNearAndFar, isCandidate);
+    if (std::all_of(candidates.begin(), candidates.end(), isTried)) {
+        candidates = ranking->second.nearest(flow, this->availabilityZone, candidatesNearAndFar,
+            [&](const Endpoint& agent) { return isCandidate(agent) && !isTried(agent); });
+    }
     std::optional<PlacementChoice> best;
     double bestCost = 0;
-    for (const Endpoint& address : agents->second) {
-        const State& state = this->states.at(address);
-        if (!isUsable(state) || std::find(tried.begin(), tried.end(), address) != tried.end()) {
+    for (const Endpoint& address : candidates) {
+        if (isTried(address)) {
             continue;
         }
+        const State& state = this->states.at(address);
         std::chrono::microseconds wait {};
         const double agentCost = this->cost(state, urgency, now, wait);
         if (!best || agentCost < bestCost) {
@@ -185,7 +202,7 @@
 {
     const auto agents = this->byService.find(service);
     return agents != this->byService.end()
-        && std::any_of(agents->second.begin(), agents->second.end(),
+        && std::any_of(agents->second.agents().begin(), agents->second.agents().end(),
             [this](const Endpoint& address) { return isUsable(this->states.at(address)); });
 }
 
@@ -229,7 +246,22 @@
 std::vector<Endpoint> FlowPlacement::agentsOf(std::string_view service) const
 {
     const auto found = this->byService.find(service);
-    return found == this->byService.end() ? std::vector<Endpoint>() : found->second;
+    return found == this->byService.end() ? std::vector<Endpoint>() : found->second.agents();
+}
+
+std::vector<Endpoint> FlowPlacement::likelyOwners(std::string_view service, const FlowKey& flow) const
+{
+    const auto found = this->byService.find(service);
+    return found == this->byService.end() ? std::vector<Endpoint>()
+                                          : found->second.nearest(flow, this->availabilityZone, likelyOwnersNearAndFar,
+                                              [](const Endpoint&) { return true; });
+}
+
+std::vector<Endpoint> FlowPlacement::likelyOwnersOfEachZone(std::string_view service, const FlowKey& flow) const
+{
+    const auto found = this->byService.find(service);
+    return found == this->byService.end() ? std::vector<Endpoint>()
+                                          : found->second.firstOfEachZone(flow, likelyOwnersNearAndFar);
 }
 
 std::vector<Endpoint> FlowPlacement::agents() const
--- a/src/coordination/FlowPlacement.h
+++ b/src/coordination/FlowPlacement.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "coordination/AgentLoad.h"
+#include "coordination/AgentRanking.h"
 #include "protocol/Endpoint.h"
 #include "protocol/HostEntry.h"
+#include "state/FlowKey.h"
 
 #include <chrono>
 #include <cstddef>
@@ -27,9 +29,10 @@
     std::uint32_t slots { 1 };
 };
 
-// Chooses the agent for a new flow: the one that is expected to have a free slot first, according to the agents' load
-// reports and the flows that this process has sent to them without a verdict so far. This balances uneven load and
-// avoids placing flows behind long requests.
+// Chooses the agent for a new flow: of the flow's candidates, the one that is expected to have a free slot first,
+// according to the agents' load reports and the flows that this process has sent to them without a verdict so far. This
+// balances uneven load and avoids placing flows behind long requests. The candidates are the first agents of the
+// service in a ranking that depends on the flow only, so that another balancer knows where to look for it.
 class FlowPlacement {
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
@@ -62,7 +65,13 @@
 
     // Returns nothing if every usable agent of the service has already been tried.
     std::optional<PlacementChoice> choose(
-        std::string_view service, FlowUrgency, std::span<const Endpoint> tried, TimePoint now);
+        std::string_view service, const FlowKey&, FlowUrgency, std::span<const Endpoint> tried, TimePoint now);
+
+    // Agents at which a balancer of this availability zone has probably placed the flow, including draining ones.
+    std::vector<Endpoint> likelyOwners(std::string_view service, const FlowKey&) const;
+
+    // Agents at which any balancer has probably placed the flow.
+    std::vector<Endpoint> likelyOwnersOfEachZone(std::string_view service, const FlowKey&) const;
 
     // Whether the service has an agent that is not about to leave.
     bool hasUsableAgent(std::string_view service) const;
@@ -113,7 +122,7 @@
 
     std::string availabilityZone;
     std::map<Endpoint, State> states;
-    std::map<std::string, std::vector<Endpoint>, std::less<>> byService;
+    std::map<std::string, AgentRanking, std::less<>> byService;
     std::vector<EntrySelection> selections;
     std::minstd_rand random;
 };
--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -50,18 +50,6 @@
 // slot becomes free about twice meanwhile, because requests take about 20 ms on average.
 constexpr std::chrono::milliseconds firstRoundDelay { 40 };
 
-// A search without an answer for this time is widened: its first packet is sent to more agents. The time is below the
-// 200 ms after which the caller repeats a packet, so that a repetition is sent to them, too.
-constexpr std::chrono::milliseconds searchTimeout { 150 };
-
-// The same for a flow that only the agents asked can have, as far as this balancer knows: its first packet may have
-// been queued here for longer than the caller waits before it retransmits. The users' rules allow 2 s.
-constexpr std::chrono::milliseconds completeSearchTimeout { 1000 };
-
-// Bounds the memory used for packets of flows that are searched; each takes up to 1,300 bytes. A further search is
-// widened when its caller repeats the packet, which takes up to 1.6 s.
-constexpr std::size_t maxPendingSearches = 512;
-
 // Covers retransmissions after both endpoints have finished.
 constexpr std::chrono::milliseconds closedFlowLifetime { 2000 };
 
@@ -72,9 +60,10 @@
 
 }
 
-FlowSteering::FlowSteering(const HostDirectory& hostDirectory, FlowPlacement& flowPlacement)
+FlowSteering::FlowSteering(const HostDirectory& hostDirectory, FlowPlacement& flowPlacement, double linkBytesPerSecond)
     : directory(hostDirectory)
     , placement(flowPlacement)
+    , searches(hostDirectory, flowPlacement, linkBytesPerSecond)
 {
 }
 
@@ -183,11 +172,11 @@
     const auto age = opening.refusedRounds == 1 ? std::chrono::milliseconds(0) : opening.transmissions.age(now);
     auto urgency = FlowUrgency::InTime;
     auto limit = waitLimit(*route, urgency, age);
-    auto choice = this->placement.choose(*service, urgency, opening.tried, now);
+    auto choice = this->placement.choose(*service, key, urgency, opening.tried, now);
     if (choice && (limit.count() < 0 || choice->expectedWait > limit)) {
         urgency = FlowUrgency::Late;
         limit = waitLimit(*route, urgency, age);
-        choice = this->placement.choose(*service, urgency, opening.tried, now);
+        choice = this->placement.choose(*service, key, urgency, opening.tried, now);
     }
     if (!choice) {
         if (opening.tried.empty()) {
@@ -295,14 +284,13 @@
     }
 }
 
-void FlowSteering::markOpened(Flow& flow, TimePoint now)
+void FlowSteering::markOpened(Flow& flow)
 {
     flow.opened = true;
     if (!flow.opening) {
         return;
     }
     flow.candidates = agentsOffered(*flow.opening);
-    flow.candidatesComplete = flow.opening->transmissions.isComplete(now);
     if (flow.candidates.size() != 1) {
         flow.owners.clear(); // until an agent confirms that it owns the flow
     }
@@ -332,71 +320,14 @@
     flow.lastAcknowledgement = packet.acknowledgement;
     flow.closing = flow.closing || packet.finishes || packet.resets;
     if (!flow.opened) {
-        markOpened(flow, now);
+        markOpened(flow);
     }
     if (!flow.owners.empty()) {
         actions.emplace_back(SteerPacket { flow.owners.front(), SteeringPurpose::KnownFlow, flow.service, {}, 0,
             FlowUrgency::InTime, 0, {}, {}, datagram });
     } else if (route != nullptr) {
-        this->search(key, flow, *route, datagram, now, actions);
-    }
-}
-
-std::vector<Endpoint> FlowSteering::searchedAgents(
-    const FlowKey& key, const Flow& flow, const FlowRoute& route, TimePoint now) const
-{
-    // A search at every agent costs as many packets as there are agents, so it is left to flows that another balancer
-    // may have placed. Otherwise searches overload a slow link as soon as it delays the answers of the agents asked.
-    const auto searched = now - *flow.searchedSince;
-    if (!flow.candidates.empty() && searched < (flow.candidatesComplete ? completeSearchTimeout : searchTimeout)) {
-        return flow.candidates;
-    }
-    // The other balancer usually selected the same service. It selected another one if that had no usable agent, or
-    // under an earlier configuration.
-    const auto services = rankServices(route.target, key);
-    return searched >= searchTimeout || services.empty() ? this->placement.agents()
-                                                         : this->placement.agentsOf(services.front());
-}
-
-void FlowSteering::startSearch(const FlowKey& key, Flow& flow, std::span<const std::uint8_t> datagram, TimePoint now)
-{
-    flow.searchedSince = now;
-    if (this->pendingSearches.size() < maxPendingSearches) {
-        flow.searchedDatagram.assign(datagram.begin(), datagram.end());
-        this->pendingSearches.push_back({ now + searchTimeout, key });
-    }
-}
-
-void FlowSteering::widenSearches(TimePoint now, std::vector<SteeringAction>& actions)
-{
-    this->widenedDatagrams.clear();
-    while (!this->pendingSearches.empty() && this->pendingSearches.front().due <= now) {
-        const FlowKey key = this->pendingSearches.front().flow;
-        this->pendingSearches.pop_front();
-        const auto flow = this->flows.find(key);
-        if (flow == this->flows.end() || flow->second.searchedDatagram.empty()) {
-            continue;
-        }
-        const auto& datagram = this->widenedDatagrams.emplace_back(std::move(flow->second.searchedDatagram));
-        flow->second.searchedDatagram.clear();
-        const FlowRoute* route = this->directory.route(key.service);
-        if (route != nullptr && flow->second.searchedSince && flow->second.owners.empty()) {
-            this->search(key, flow->second, *route, datagram, now, actions);
-        }
-    }
-}
-
-void FlowSteering::search(const FlowKey& key, Flow& flow, const FlowRoute& route,
-    std::span<const std::uint8_t> datagram, TimePoint now, std::vector<SteeringAction>& actions)
-{
-    if (!flow.searchedSince) {
-        this->startSearch(key, flow, datagram, now);
-    }
-    const bool unanswered = now - *flow.searchedSince >= searchTimeout;
-    const auto purpose = unanswered ? SteeringPurpose::Recover : SteeringPurpose::Search;
-    for (const Endpoint& agent : this->searchedAgents(key, flow, route, now)) {
-        actions.emplace_back(SteerPacket {
-            agent, purpose, this->placement.serviceOf(agent), {}, 0, FlowUrgency::InTime, 0, {}, {}, datagram });
+        this->searches.search(key, packet.acknowledges ? std::optional(packet.acknowledgement) : std::nullopt,
+            flow.candidates, datagram, now, actions);
     }
 }
 
@@ -451,13 +382,19 @@
     this->openings.erase(opening);
 }
 
-void FlowSteering::handleOwned(const Endpoint& agent, const FlowKey& key, TimePoint now)
+void FlowSteering::handleOwned(
+    const Endpoint& agent, const FlowKey& key, TimePoint now, std::vector<SteeringAction>& actions)
 {
     this->openings.erase(key);
     Flow& flow = this->flowOf(key, agent, now);
     flow.owners.assign(1, agent);
     flow.opened = true;
     flow.opening.reset();
+    for (auto& packet : this->searches.finish(key)) {
+        const auto& released = this->releasedPackets.emplace_back(std::move(packet));
+        actions.emplace_back(SteerPacket {
+            agent, SteeringPurpose::KnownFlow, flow.service, {}, 0, FlowUrgency::InTime, 0, {}, {}, released });
+    }
 }
 
 void FlowSteering::handleNotOwned(
@@ -476,19 +413,13 @@
         }
         return;
     }
+    this->searches.handleAnswer(agent, key, verdict, now, actions);
     const auto found = this->flows.find(key);
-    if (found != this->flows.end() && verdict == FlowVerdict::NotFound && found->second.searchedSince
-        && found->second.owners.empty()) {
-        this->handleNotFound(agent, found, now, actions);
-        return;
-    }
     if (found == this->flows.end() || std::erase(found->second.owners, agent) == 0 || !found->second.owners.empty()) {
         return;
     }
     Flow& flow = found->second;
     flow.candidates.clear();
-    flow.searchedSince.reset();
-    flow.agentsWithout.clear();
     if (flow.opening && !flow.opened) {
         // The agent admitted the flow, but its backend server has not answered: another agent may take it.
         const auto placed = this->openings.insert_or_assign(key, std::move(*flow.opening)).first;
@@ -504,35 +435,14 @@
     }
 }
 
-void FlowSteering::handleNotFound(
-    const Endpoint& agent, Flows::iterator found, TimePoint now, std::vector<SteeringAction>& actions)
-{
-    Flow& flow = found->second;
-    if (std::find(flow.agentsWithout.begin(), flow.agentsWithout.end(), agent) == flow.agentsWithout.end()) {
-        flow.agentsWithout.push_back(agent);
-    }
-    // The flow may be at a host that this process has not read yet, or that another balancer has learned of just now.
-    if (!this->directory.isComplete() || now - *flow.searchedSince < searchTimeout) {
-        return;
-    }
-    const auto agents = this->placement.agents();
-    const bool nowhere = std::all_of(agents.begin(), agents.end(), [&](const Endpoint& known) {
-        return std::find(flow.agentsWithout.begin(), flow.agentsWithout.end(), known) != flow.agentsWithout.end();
-    });
-    if (nowhere) {
-        // Without the reset, the caller would wait for an answer until its deadline.
-        actions.emplace_back(SendReset { found->first, flow.lastAcknowledgement, "not_found" });
-        this->flows.erase(found);
-    }
-}
-
 void FlowSteering::handleVerdict(
     const Endpoint& agent, const FlowKey& key, FlowVerdict verdict, TimePoint now, std::vector<SteeringAction>& actions)
 {
+    this->releasedPackets.clear();
     if (verdict == FlowVerdict::Admitted) {
         this->handleAdmitted(agent, key, now);
     } else if (verdict == FlowVerdict::Owned) {
-        this->handleOwned(agent, key, now);
+        this->handleOwned(agent, key, now, actions);
     } else {
         this->handleNotOwned(agent, key, verdict, now, actions);
     }
@@ -566,7 +476,7 @@
         }
         opening = keep ? std::next(opening) : this->openings.erase(opening);
     }
-    this->widenSearches(now, actions);
+    this->searches.tick(now, actions);
     if (now < this->nextSweep) {
         return;
     }
@@ -580,8 +490,7 @@
 
 FlowSteering::TimePoint FlowSteering::nextTick() const
 {
-    TimePoint next = this->pendingSearches.empty() ? this->nextSweep
-                                                   : std::min(this->nextSweep, this->pendingSearches.front().due);
+    TimePoint next = std::min(this->nextSweep, this->searches.nextTick());
     for (const auto& [key, opening] : this->openings) {
         next = std::min(next, opening.deadline);
     }
--- a/src/coordination/FlowSteering.h
+++ b/src/coordination/FlowSteering.h
@@ -2,6 +2,7 @@
 
 #include "coordination/FirstPacketTransmissions.h"
 #include "coordination/FlowVerdict.h"
+#include "coordination/OwnerSearches.h"
 #include "coordination/SteeringAction.h"
 #include "protocol/FlowPacket.h"
 #include "state/FlowKey.h"
@@ -9,7 +10,6 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <span>
 #include <string>
@@ -24,13 +24,13 @@
 struct FlowRoute;
 
 // Decides to which agent a balancer forwards each packet of a caller. The balancer only caches the owners of flows; the
-// agents are authoritative. If the owner is unknown, it is searched among the agents of the service.
+// agents are authoritative. If the owner is unknown, the packets of the flow wait while agents are asked for it.
 class FlowSteering {
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
 
-    // The references must outlive this object.
-    FlowSteering(const HostDirectory&, FlowPlacement&);
+    // linkBytesPerSecond: capacity of the balancer's link. The references must outlive this object.
+    FlowSteering(const HostDirectory&, FlowPlacement&, double linkBytesPerSecond);
 
     // Handles a packet from a caller. The datagram contains the packet.
     void handlePacket(
@@ -79,10 +79,6 @@
     struct Flow {
         std::vector<Endpoint> owners; // more than one if several agents have admitted the flow
         std::vector<Endpoint> candidates; // agents that this balancer offered the flow
-        bool candidatesComplete { false }; // no other balancer can have offered the flow
-        std::optional<TimePoint> searchedSince; // since when the owner of the open flow has been searched
-        std::vector<Endpoint> agentsWithout; // agents that have answered the search that they do not have the flow
-        std::vector<std::uint8_t> searchedDatagram; // the packet with which the search began, until it is sent again
         std::uint64_t service { 0 }; // serviceHash() of the owner's service
         TimePoint lastPacket;
         std::uint32_t lastAcknowledgement { 0 };
@@ -94,12 +90,6 @@
     using Flows = std::unordered_map<FlowKey, Flow, FlowKeyHash>;
     using Openings = std::unordered_map<FlowKey, Opening, FlowKeyHash>;
 
-    // A search that is widened at a time, if the owner has not been found by then.
-    struct PendingSearch {
-        TimePoint due;
-        FlowKey flow;
-    };
-
     // Sends a retransmission to the agent whose verdict is missing. A single packet does not add to an overload.
     void askLastAgentAgain(const FlowKey&, const Opening&, std::span<const std::uint8_t> datagram, TimePoint now,
         std::vector<SteeringAction>& actions) const;
@@ -128,31 +118,21 @@
     // the opening.
     bool refuse(const FlowKey&, Opening&, std::string_view reason, TimePoint now, std::vector<SteeringAction>& actions);
     void handleAdmitted(const Endpoint& agent, const FlowKey&, TimePoint now);
-    void handleOwned(const Endpoint& agent, const FlowKey&, TimePoint now);
+    void handleOwned(const Endpoint& agent, const FlowKey&, TimePoint now, std::vector<SteeringAction>& actions);
     // Returns the flow, which the agent has admitted or owns.
     Flow& flowOf(const FlowKey&, const Endpoint& agent, TimePoint now);
-    static void markOpened(Flow&, TimePoint now);
-    // Sends a packet of a flow without a known owner to the agents that may own it.
-    void search(const FlowKey&, Flow&, const FlowRoute&, std::span<const std::uint8_t> datagram, TimePoint now,
-        std::vector<SteeringAction>& actions);
-    // Keeps the packet with which a search begins, to send it to more agents if none answers.
-    void startSearch(const FlowKey&, Flow&, std::span<const std::uint8_t> datagram, TimePoint now);
-    // Widens searches that no agent has answered.
-    void widenSearches(TimePoint now, std::vector<SteeringAction>& actions);
-    std::vector<Endpoint> searchedAgents(const FlowKey&, const Flow&, const FlowRoute&, TimePoint now) const;
+    static void markOpened(Flow&);
     // Handles a verdict by which the agent does not own the flow or no longer owns it.
     void handleNotOwned(
         const Endpoint& agent, const FlowKey&, FlowVerdict, TimePoint now, std::vector<SteeringAction>& actions);
-    // Records that the agent does not have a flow that is searched. Resets the flow if no agent has it.
-    void handleNotFound(const Endpoint& agent, Flows::iterator, TimePoint now, std::vector<SteeringAction>& actions);
     void placeOrErase(Openings::iterator, TimePoint now, std::vector<SteeringAction>& actions);
 
     const HostDirectory& directory;
     FlowPlacement& placement;
     Flows flows;
     Openings openings;
-    std::deque<PendingSearch> pendingSearches; // in order of time
-    std::vector<std::vector<std::uint8_t>> widenedDatagrams; // keeps those alive that the last actions refer to
+    OwnerSearches searches;
+    std::vector<std::vector<std::uint8_t>> releasedPackets; // keeps those alive that the last actions refer to
     TimePoint nextSweep;
 };
 
--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -207,32 +207,70 @@
     actions.emplace_back(DeliverToBackendServer { datagram });
 }
 
-void HostAdmission::handleUnknownFlow(const Endpoint& balancer, SteeringPurpose purpose, const FlowPacket& packet,
-    std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions)
+bool HostAdmission::isOpenElsewhere(const HostFlow& flow, std::optional<std::uint32_t> acknowledgement)
+{
+    const bool notYetUsed = flow.phase == HostFlowPhase::Opening || flow.phase == HostFlowPhase::Stalled;
+    return notYetUsed && acknowledgement && (!flow.hostAnswered || *acknowledgement != flow.hostSequence + 1);
+}
+
+void HostAdmission::abandonOpening(const FlowKey& key, const HostFlow& flow, TimePoint now)
+{
+    const bool answered = flow.hostAnswered;
+    this->flows.erase(key);
+    if (answered || !this->mayHaveBeenAnsweredBeforeStart(now)) {
+        this->declinedFlows.insert_or_assign(key, now);
+    }
+}
+
+bool HostAdmission::isDeclined(const FlowKey& key, TimePoint now)
 {
-    const FlowKey key = packet.keyFromCaller();
     // The caller sends later packets only after it has accepted an answer, so a held flow is open elsewhere.
     const auto dropped = std::erase_if(this->held, [&](const auto& item) { return item.second.flow == key; });
     if (dropped > 0 && !this->mayHaveBeenAnsweredBeforeStart(now)) {
         this->declinedFlows.insert_or_assign(key, now);
     }
     const auto declined = this->declinedFlows.find(key);
-    if (declined != this->declinedFlows.end()) {
-        declined->second = now;
-        if (purpose != SteeringPurpose::Search) {
-            actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::NotFound, {}, {} });
-        }
-        return;
+    if (declined == this->declinedFlows.end()) {
+        return false;
     }
-    // If the agent started less than flowLifetime ago, its backend server may hold flows from before the start.
-    if (now - this->startedAt > this->flowLifetime) {
-        if (purpose != SteeringPurpose::Search) {
-            actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::NotFound, {}, {} });
+    declined->second = now;
+    return true;
+}
+
+void HostAdmission::handleQuery(
+    const Endpoint& balancer, const FlowQuery& query, TimePoint now, std::vector<AgentAction>& actions)
+{
+    auto verdict = FlowVerdict::NotFound;
+    if (HostFlow* flow = this->flows.find(query.flow)) {
+        if (isOpenElsewhere(*flow, query.acknowledgement)) {
+            this->abandonOpening(query.flow, *flow, now);
+            this->deliverHeld(now, actions);
+        } else {
+            verdict = FlowVerdict::Owned;
+            flow->balancer = balancer;
         }
-        return;
+    } else if (!this->isDeclined(query.flow, now) && this->mayHoldUnknownFlows(now)) {
+        verdict = FlowVerdict::MayHold;
     }
-    if (purpose == SteeringPurpose::Search) {
-        return; // the owner answers; if it does not, the balancer sends the next packet to recover the flow
+    actions.emplace_back(SendVerdict { balancer, query.flow, verdict, {}, {} });
+}
+
+HostFlow& HostAdmission::adoptFlow(
+    const FlowKey& key, const Endpoint& balancer, TimePoint now, std::vector<AgentAction>& actions)
+{
+    HostFlow& flow = this->flows.open(key, balancer, now);
+    this->flows.setPhase(flow, HostFlowPhase::Idle, now);
+    actions.emplace_back(ReportRecoveredFlow { key });
+    return flow;
+}
+
+void HostAdmission::handleUnknownFlow(const Endpoint& balancer, const FlowPacket& packet,
+    std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions)
+{
+    const FlowKey key = packet.keyFromCaller();
+    if (this->isDeclined(key, now) || !this->mayHoldUnknownFlows(now)) {
+        actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::NotFound, {}, {} });
+        return;
     }
     this->tentativeDeliveries.insert_or_assign(key, TentativeDelivery { balancer, now });
     actions.emplace_back(DeliverToBackendServer { datagram });
@@ -248,21 +286,12 @@
     }
     HostFlow* flow = this->flows.find(key);
     if (flow == nullptr) {
-        this->handleUnknownFlow(balancer, purpose, packet, datagram, now, actions);
+        this->handleUnknownFlow(balancer, packet, datagram, now, actions);
         return;
     }
-    const bool notYetUsed = flow->phase == HostFlowPhase::Opening || flow->phase == HostFlowPhase::Stalled;
-    if (notYetUsed && packet.acknowledges
-        && (!flow->hostAnswered || packet.acknowledgement != flow->hostSequence + 1)) {
-        // The caller has accepted the answer of another backend server to its first packet.
-        const bool answered = flow->hostAnswered;
-        this->flows.erase(key);
-        if (answered || !this->mayHaveBeenAnsweredBeforeStart(now)) {
-            this->declinedFlows.insert_or_assign(key, now);
-        }
-        if (purpose == SteeringPurpose::KnownFlow) {
-            actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::NotFound, {}, {} });
-        }
+    if (isOpenElsewhere(*flow, packet.acknowledges ? std::optional(packet.acknowledgement) : std::nullopt)) {
+        this->abandonOpening(key, *flow, now);
+        actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::NotFound, {}, {} });
         this->deliverHeld(now, actions);
         return;
     }
@@ -342,6 +371,9 @@
         actions.emplace_back(ReportLostRequest { key, std::move(flow->requestId) });
     }
     this->flows.erase(key);
+    if (balancer.address == 0) {
+        return; // an adopted flow; the balancer that asks for it next learns that it is not here
+    }
     actions.emplace_back(SendVerdict {
         balancer, key, packet.isFirst() ? FlowVerdict::RefusedByBackendServer : FlowVerdict::Lost, {}, {} });
     this->deliverHeld(now, actions);
@@ -365,12 +397,14 @@
     actions.emplace_back(DeliverToCaller { packet.destination, datagram });
     if (flow == nullptr) {
         // A backend server repeats its answer to a first packet also for a flow that is open elsewhere.
-        if (onTrial && !packet.opens) {
-            // The flow was opened before this agent started.
-            HostFlow& found = this->flows.open(key, delivery->second.balancer, now);
-            this->flows.setPhase(found, HostFlowPhase::Idle, now);
-            actions.emplace_back(ReportRecoveredFlow { key });
-            actions.emplace_back(SendVerdict { delivery->second.balancer, key, FlowVerdict::Owned, {}, {} });
+        if (packet.opens || packet.resets || !this->mayHoldUnknownFlows(now)) {
+            return;
+        }
+        // The flow was opened before this agent started.
+        const Endpoint balancer = onTrial ? delivery->second.balancer : Endpoint();
+        this->adoptFlow(key, balancer, now, actions);
+        if (onTrial) {
+            actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::Owned, {}, {} });
             this->tentativeDeliveries.erase(delivery);
         }
         return;
--- a/src/coordination/HostAdmission.h
+++ b/src/coordination/HostAdmission.h
@@ -2,6 +2,7 @@
 
 #include "coordination/AgentAction.h"
 #include "coordination/AgentLoad.h"
+#include "coordination/FlowQuery.h"
 #include "coordination/SteeringPurpose.h"
 #include "protocol/FlowPacket.h"
 #include "protocol/PayloadMetadata.h"
@@ -11,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -38,7 +40,9 @@
     using MetadataParser = std::function<PayloadMetadata(std::span<const std::uint8_t>)>;
 
     // incarnation: random number drawn at each start of the agent. service: serviceHash() of the backend server's
-    // service. flowLifetime: maximum lifetime of a flow; older flows need not be recovered after a restart.
+    // service. flowLifetime: maximum lifetime of a flow; older flows need not be recovered after a restart. An agent
+    // that is certain to have seen all flows of its backend server passes a startedAt that is earlier by more than
+    // that.
     HostAdmission(std::uint64_t incarnation, std::uint64_t service, MetadataParser readRequest,
         MetadataParser readAnswer, TimePoint startedAt, std::chrono::milliseconds flowLifetime);
 
@@ -49,6 +53,9 @@
     void handleCallerPacket(const Endpoint& balancer, std::uint64_t service, SteeringPurpose, const FlowPacket&,
         std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions);
 
+    // Answers a balancer that looks for the owner of an open flow.
+    void handleQuery(const Endpoint& balancer, const FlowQuery&, TimePoint now, std::vector<AgentAction>& actions);
+
     // Handles a packet that the backend server sent, or returned because it does not hold the flow.
     void handleBackendServerPacket(
         const FlowPacket&, std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions);
@@ -101,12 +108,23 @@
     void refuseUnanswered(TimePoint now, std::vector<AgentAction>& actions);
     void deliverHeld(TimePoint now, std::vector<AgentAction>& actions);
     void handleReturnedPacket(const FlowPacket&, TimePoint now, std::vector<AgentAction>& actions);
-    void handleUnknownFlow(const Endpoint& balancer, SteeringPurpose, const FlowPacket&,
-        std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions);
+    // Takes over a flow that the backend server holds from before this agent's start.
+    HostFlow& adoptFlow(const FlowKey&, const Endpoint& balancer, TimePoint now, std::vector<AgentAction>& actions);
+    void handleUnknownFlow(const Endpoint& balancer, const FlowPacket&, std::span<const std::uint8_t> datagram,
+        TimePoint now, std::vector<AgentAction>& actions);
     void recordAnswerStart(HostFlow&, TimePoint now);
     void reportAnswer(HostFlow&, const FlowKey&, const FlowPacket&, TimePoint now, std::vector<AgentAction>& actions);
     // Whether a caller that is opening a flow may have been answered before this agent started.
     bool mayHaveBeenAnsweredBeforeStart(TimePoint now) const;
+    // Whether the backend server may hold flows from before this agent's start.
+    bool mayHoldUnknownFlows(TimePoint now) const { return now - this->startedAt <= this->flowLifetime; }
+    // Whether the caller's packet shows that it has accepted another backend server's answer to its first packet.
+    static bool isOpenElsewhere(const HostFlow&, std::optional<std::uint32_t> acknowledgement);
+    // Removes a flow that the caller has opened at another backend server.
+    void abandonOpening(const FlowKey&, const HostFlow&, TimePoint now);
+    // Removes a queued flow that the caller has opened at another backend server. Returns whether the flow is known to
+    // be open there.
+    bool isDeclined(const FlowKey&, TimePoint now);
     std::uint32_t heldLate() const;
     double decayedDemand(TimePoint now) const;
     void updateMeanWork(std::chrono::microseconds work);
--- a/src/coordination/SteeringAction.h
+++ b/src/coordination/SteeringAction.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "coordination/AgentLoad.h"
+#include "coordination/FlowQuery.h"
 #include "coordination/OpeningHistory.h"
+#include "coordination/OwnerSearch.h"
 #include "coordination/SteeringPurpose.h"
 #include "protocol/Endpoint.h"
 #include "state/FlowKey.h"
@@ -12,6 +14,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace chicoryferry {
 
@@ -52,6 +55,20 @@
     std::string used;
 };
 
-using SteeringAction = std::variant<SteerPacket, SendReset, WithholdReset, ReportSkippedService>;
+// Ask the agents whether they hold an open flow.
+struct AskAgents {
+    std::vector<Endpoint> agents;
+    FlowQuery query;
+    OwnerSearch::Stage stage { OwnerSearch::Stage::Offered };
+};
+
+// The search for the owner of an open flow has ended without result.
+struct ReportFailedSearch {
+    FlowKey flow;
+    std::string_view reason;
+};
+
+using SteeringAction
+    = std::variant<SteerPacket, SendReset, WithholdReset, ReportSkippedService, AskAgents, ReportFailedSearch>;
 
 }
--- a/test/unit/FleetSimulation.h
+++ b/test/unit/FleetSimulation.h
@@ -137,6 +137,7 @@
     void processAtBalancer(std::size_t balancer, const FlowPacket&);
     void applyBalancerActions(std::size_t balancer);
     void applyAgentActions(std::size_t host);
+    void sendQuery(std::size_t host, const Endpoint& balancer, const FlowQuery&);
     void deliverToHost(std::size_t host, const FlowPacket&);
     void acceptFirstPacket(std::size_t host, const FlowKey&);
     void answerFirstPacket(std::size_t host, const FlowKey&, int transmission);
