--- a/src/app/AgentNode.cpp
+++ b/src/app/AgentNode.cpp
@@ -157,6 +157,27 @@
     this->perform(now);
 }
 
+void AgentNode::handleHello(const HelloMessage& hello, TimePoint now)
+{
+    // A balancer that is behind, for example partitioned from the store, must not return the zone to use.
+    if (hello.state.revision < this->evacuationRevision) {
+        return;
+    }
+    this->evacuationRevision = hello.state.revision;
+    const bool isNamed
+        = std::find(hello.evacuatedZones.begin(), hello.evacuatedZones.end(), this->settings.availabilityZone)
+        != hello.evacuatedZones.end();
+    if (isNamed == this->evacuated) {
+        return;
+    }
+    this->evacuated = isNamed;
+    this->log.log(EventLog::Importance::Notable, isNamed ? "evacuated" : "evacuation_ended",
+        { { "zone", this->settings.availabilityZone },
+            { "revision", static_cast<std::int64_t>(hello.state.revision) } });
+    this->admission.setEvacuated(isNamed, this->actions);
+    this->perform(now);
+}
+
 void AgentNode::receivePeerMessages()
 {
     for (int batch = 0; batch < maximumBatchesPerCall; ++batch) {
@@ -180,6 +201,7 @@
                 this->perform(now);
             } else {
                 balancer.reportDue = true;
+                this->handleHello(std::get<HelloMessage>(*message), now);
             }
         }
         this->sendReports(now);
--- a/src/app/AgentNode.h
+++ b/src/app/AgentNode.h
@@ -46,6 +46,7 @@
     void receivePeerMessages();
     void receiveBackendServerPackets();
     void handleSteeredPacket(const Endpoint& balancer, const SteerPacket&, TimePoint now);
+    void handleHello(const HelloMessage&, TimePoint now);
     void perform(TimePoint now);
     void queueVerdict(const SendVerdict&, TimePoint now);
     void logAnswer(const ReportAnswer&);
@@ -72,6 +73,8 @@
     std::vector<AgentAction> actions;
     std::map<Endpoint, Balancer> balancers;
     ReportRecipients recipients;
+    std::uint64_t evacuationRevision { 0 }; // store revision of the last word on evacuated zones
+    bool evacuated { false };
     TimePoint nextTick;
     TimePoint nextReports;
     TimePoint stopSince;
--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -163,6 +163,7 @@
         const Endpoint address { host->entry.address.address, this->settings.packetAddress.port };
         agents.push_back({ address, host->entry, host->learnedAt });
     }
+    this->placement.setEvacuatedZones(this->directory.evacuatedZones().names());
     if (this->placement.setAgents(agents, now)) {
         this->nextAgentHello = now; // asks for reports
     }
@@ -348,7 +349,9 @@
     if (this->snapshotRevision != this->reader.revision()) {
         this->publishSnapshot();
     }
-    HelloMessage message { { this->incarnation, this->reader.revision(), this->reader.available() }, {} };
+    const auto zones = this->directory.evacuatedZones().names();
+    HelloMessage message { { this->incarnation, this->reader.revision(), this->reader.available() }, {},
+        { zones.begin(), zones.end() } };
     for (const Endpoint& peer : this->peers.livePeers(now, maximumListedPeers)) {
         message.balancers.push_back(peer.address);
     }
--- a/src/app/DirectorySnapshot.cpp
+++ b/src/app/DirectorySnapshot.cpp
@@ -77,6 +77,12 @@
         item.set_priority(route.priority);
     }
     snapshot.set_incomplete(!directory.isComplete());
+    snapshot.set_lists_zones(true);
+    for (const auto& [zone, requestRevision] : directory.evacuatedZones().requests()) {
+        auto& item = *snapshot.add_evacuated_zones();
+        item.set_zone(zone);
+        item.set_revision(requestRevision);
+    }
     for (const KnownHost* host : directory.hosts()) {
         if (host->missingSince) {
             continue;
@@ -107,6 +113,10 @@
     if (snapshot.configuration_version() > 0) {
         result.changes.emplace_back(RouteTableWritten { readRoutes(snapshot) });
     }
+    result.listsZones = snapshot.lists_zones();
+    for (const auto& item : snapshot.evacuated_zones()) {
+        result.changes.emplace_back(EvacuationChanged { item.zone(), true, item.revision() });
+    }
     for (const auto& item : snapshot.hosts()) {
         if (!isValid(item)) {
             return std::nullopt;
--- a/src/app/DirectorySnapshot.h
+++ b/src/app/DirectorySnapshot.h
@@ -16,6 +16,7 @@
     std::uint64_t revision { 0 };
     std::vector<DirectoryChange> changes; // together the complete directory
     bool incomplete { false }; // running hosts may be left out
+    bool listsZones { false }; // false: of a version that does not know evacuations
 };
 
 std::string encodeSnapshot(const HostDirectory&, std::uint64_t revision);
--- a/src/app/SteeringMessages.cpp
+++ b/src/app/SteeringMessages.cpp
@@ -11,6 +11,9 @@
 
 constexpr std::size_t maximumHeaderBytes = 2048;
 
+// Keeps a hello in one datagram. Agents of evacuated zones that are left out rely on the balancers.
+constexpr std::size_t maximumZoneBytes = 1024;
+
 // Upper bound for plausibility; a report with more slots is rejected as malformed.
 constexpr std::uint32_t maximumSlots = 1'000'000;
 
@@ -152,6 +155,13 @@
     hello.set_revision(message.state.revision);
     hello.set_store_available(message.state.storeAvailable);
     hello.mutable_balancers()->Add(message.balancers.begin(), message.balancers.end());
+    std::size_t zoneBytes = 0;
+    for (const std::string& zone : message.evacuatedZones) {
+        zoneBytes += zone.size();
+        if (zoneBytes <= maximumZoneBytes) {
+            hello.add_evacuated_zones(zone);
+        }
+    }
     return this->encodeHeader();
 }
 
@@ -185,7 +195,8 @@
     if (this->header->has_hello()) {
         const wire::BalancerHello& hello = this->header->hello();
         return HelloMessage { { hello.lifetime(), hello.revision(), hello.store_available() },
-            { hello.balancers().begin(), hello.balancers().end() } };
+            { hello.balancers().begin(), hello.balancers().end() },
+            { hello.evacuated_zones().begin(), hello.evacuated_zones().end() } };
     }
     if (this->header->has_query()) {
         const wire::FlowQuery& query = this->header->query();
--- a/src/app/SteeringMessages.h
+++ b/src/app/SteeringMessages.h
@@ -38,6 +38,7 @@
 struct HelloMessage {
     BalancerState state;
     std::vector<std::uint32_t> balancers; // addresses of other balancers that the sender heard recently
+    std::vector<std::string> evacuatedZones; // at the revision of the state
 };
 
 // In a decoded SteerPacket the agent address is 0, because the agent is the receiver.
--- a/src/app/StoreReader.cpp
+++ b/src/app/StoreReader.cpp
@@ -122,6 +122,11 @@
         return; // this process's store calls have already reached this revision
     }
     this->directory.beginListing();
+    if (!snapshot->listsZones) {
+        for (const auto& [zone, revision] : this->directory.evacuatedZones().requests()) {
+            this->directory.apply(EvacuationChanged { zone, true, revision }, now);
+        }
+    }
     this->apply(snapshot->changes, snapshot->revision, now);
     if (this->listing) {
         // The peer's state makes a listing in progress unnecessary.
@@ -265,9 +270,23 @@
                        [&](const HostWritten& written) { this->logHostWritten(written.entry, revision); },
                        [&](const HostRemoved& removed) { this->logHostRemoved(removed.id, revision); },
                        [](const EntryRefused&) {},
+                       [](const EvacuationChanged&) {},
                    },
             change);
+        return;
+    case HostDirectory::Effect::EvacuationChanged:
+        this->logEvacuations(revision);
+    }
+}
+
+void StoreReader::logEvacuations(std::uint64_t revision)
+{
+    std::string zones;
+    for (const std::string& zone : this->directory.evacuatedZones().names()) {
+        zones += (zones.empty() ? "" : ",") + zone;
     }
+    this->log.log(EventLog::Importance::Notable, "zones_evacuated",
+        { { "zones", zones }, { "revision", static_cast<std::int64_t>(revision) } });
 }
 
 void StoreReader::apply(const std::vector<DirectoryChange>& changes, std::uint64_t revision, TimePoint now)
@@ -281,11 +300,12 @@
                            [this](const HostWritten& written) { this->refusedEntries.erase(written.entry.id); },
                            [this](const HostRemoved& removed) { this->refusedEntries.erase(removed.id); },
                            [](const EntryRefused&) {},
+                           [](const EvacuationChanged&) {},
                        },
                 change);
         }
         changed = changed || effect == HostDirectory::Effect::HostsChanged
-            || effect == HostDirectory::Effect::RoutesChanged;
+            || effect == HostDirectory::Effect::RoutesChanged || effect == HostDirectory::Effect::EvacuationChanged;
         this->logEffect(change, effect, revision);
     }
     if (changed) {
--- a/src/app/StoreReader.h
+++ b/src/app/StoreReader.h
@@ -66,6 +66,7 @@
     void logEffect(const DirectoryChange&, HostDirectory::Effect, std::uint64_t revision);
     void logRefusedEntry(const DirectoryChange&, std::uint64_t revision);
     void logHostWritten(const HostEntry&, std::uint64_t revision);
+    void logEvacuations(std::uint64_t revision);
     void logHostRemoved(std::string_view host, std::uint64_t revision);
     void handleFetchFailure(const std::string& step, const std::string& reason);
     void handleFailure(const std::string& step, const std::string& reason, TimePoint now);
--- a/src/coordination/FlowPlacement.cpp
+++ b/src/coordination/FlowPlacement.cpp
@@ -206,6 +206,14 @@
             [this](const Endpoint& address) { return isUsable(this->states.at(address)); });
 }
 
+bool FlowPlacement::isEvacuated(std::string_view service) const
+{
+    const auto agents = this->byService.find(service);
+    return agents != this->byService.end() && !this->hasUsableAgent(service)
+        && std::any_of(agents->second.agents().begin(), agents->second.agents().end(),
+            [this](const Endpoint& address) { return !isLeaving(this->states.at(address)); });
+}
+
 std::uint64_t FlowPlacement::serviceOf(const Endpoint& agent) const
 {
     const auto found = this->states.find(agent);
--- a/src/coordination/FlowPlacement.h
+++ b/src/coordination/FlowPlacement.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -60,6 +61,13 @@
     // keep their recorded state. Returns whether a report is needed: an agent or a service of one is new.
     bool setAgents(const std::vector<Agent>&, TimePoint now);
 
+    // Names the availability zones whose agents get no new flows.
+    void setEvacuatedZones(std::set<std::string, std::less<>> names) { this->evacuatedZones = std::move(names); }
+
+    // Whether the service has agents that could take new flows if their availability zones were not evacuated, and no
+    // others.
+    bool isEvacuated(std::string_view service) const;
+
     // Records a load report. Returns false if the agent is unknown or the report is not newer than the recorded one.
     bool report(const Endpoint& agent, const AgentLoad&, TimePoint now);
 
@@ -112,7 +120,11 @@
         const HostEntry& host() const { return this->entries[this->selected].host; }
     };
 
-    static bool isUsable(const State& state) { return !state.draining && !(state.reported && state.load.leaving); }
+    static bool isLeaving(const State& state) { return state.draining || (state.reported && state.load.leaving); }
+    bool isUsable(const State& state) const
+    {
+        return !isLeaving(state) && !this->evacuatedZones.contains(state.host().availabilityZone);
+    }
     static bool hasEntryFor(const State&, std::string_view service);
     // Selects the entry in use. Returns whether its service has changed.
     static bool selectEntry(State&);
@@ -123,6 +135,7 @@
     std::string availabilityZone;
     std::map<Endpoint, State> states;
     std::map<std::string, AgentRanking, std::less<>> byService;
+    std::set<std::string, std::less<>> evacuatedZones;
     std::vector<EntrySelection> selections;
     std::minstd_rand random;
 };
--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -179,6 +179,9 @@
         choice = this->placement.choose(*service, key, urgency, opening.tried, now);
     }
     if (!choice) {
+        if (this->placement.isEvacuated(*service)) {
+            return this->refuse(key, opening, "evacuated", now, actions);
+        }
         if (opening.tried.empty()) {
             this->waitForAgent(opening, now);
             return true;
--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -177,9 +177,10 @@
     }
     // The backend server may have accepted an earlier transmission, so a refusal must not lead to a reset.
     const bool possiblyAccepted = packet.acknowledgement > 0 && this->mayHaveBeenAnsweredBeforeStart(now);
-    if (this->leaving) {
-        actions.emplace_back(SendVerdict { offer.balancer, key,
-            possiblyAccepted ? FlowVerdict::RefusedByBackendServer : FlowVerdict::RefusedLeaving, {}, {} });
+    if (this->leaving || this->evacuated) {
+        const auto refusal = this->leaving ? FlowVerdict::RefusedLeaving : FlowVerdict::RefusedEvacuated;
+        actions.emplace_back(SendVerdict {
+            offer.balancer, key, possiblyAccepted ? FlowVerdict::RefusedByBackendServer : refusal, {}, {} });
         return;
     }
     if (this->isBackendServerSilent(now)) {
@@ -446,8 +447,21 @@
 void HostAdmission::setService(std::uint64_t nextService, std::vector<AgentAction>& actions)
 {
     this->service = nextService;
+    this->refuseAllHeld(FlowVerdict::WrongService, actions);
+}
+
+void HostAdmission::setEvacuated(bool isEvacuated, std::vector<AgentAction>& actions)
+{
+    this->evacuated = isEvacuated;
+    if (isEvacuated) {
+        this->refuseAllHeld(FlowVerdict::RefusedEvacuated, actions);
+    }
+}
+
+void HostAdmission::refuseAllHeld(FlowVerdict verdict, std::vector<AgentAction>& actions)
+{
     for (const auto& [heldPriority, flow] : this->held) {
-        actions.emplace_back(SendVerdict { flow.offer.balancer, flow.flow, FlowVerdict::WrongService, {}, {} });
+        actions.emplace_back(SendVerdict { flow.offer.balancer, flow.flow, verdict, {}, {} });
     }
     this->held.clear();
 }
@@ -464,11 +478,7 @@
     if (!this->isBackendServerSilent(now)) {
         return;
     }
-    for (const auto& [heldPriority, flow] : this->held) {
-        actions.emplace_back(
-            SendVerdict { flow.offer.balancer, flow.flow, FlowVerdict::RefusedByBackendServer, {}, {} });
-    }
-    this->held.clear();
+    this->refuseAllHeld(FlowVerdict::RefusedByBackendServer, actions);
 }
 
 void HostAdmission::tick(TimePoint now, std::vector<AgentAction>& actions)
--- a/src/coordination/HostAdmission.h
+++ b/src/coordination/HostAdmission.h
@@ -66,6 +66,10 @@
     // Refuses new flows from now on; flows that are already queued are still delivered.
     void refuseNewFlows() { this->leaving = true; }
 
+    // Whether the operator has asked to evacuate the backend server's availability zone. While it is evacuated, new
+    // flows are refused, those queued included, and open flows go on.
+    void setEvacuated(bool, std::vector<AgentAction>& actions);
+
     // Assigns the backend server to another service and refuses the queued flows.
     void setService(std::uint64_t service, std::vector<AgentAction>& actions);
 
@@ -105,6 +109,8 @@
     std::uint32_t deliveryLimit(FlowUrgency) const;
     bool isOverdue(const HeldFlow&, TimePoint now) const;
     static SendVerdict refuseHeld(const HeldFlow&, TimePoint now);
+    // Refuses all queued flows.
+    void refuseAllHeld(FlowVerdict, std::vector<AgentAction>& actions);
     void refuseUnanswered(TimePoint now, std::vector<AgentAction>& actions);
     void deliverHeld(TimePoint now, std::vector<AgentAction>& actions);
     void handleReturnedPacket(const FlowPacket&, TimePoint now, std::vector<AgentAction>& actions);
@@ -139,6 +145,7 @@
     std::uint32_t slots { 1 };
     std::chrono::microseconds meanWork { 0 };
     bool leaving { false };
+    bool evacuated { false };
     HostFlows flows;
     std::multimap<HeldPriority, HeldFlow> held; // in order of delivery: by priority, then by arrival
     double demand { 0 }; // number of in-time flows offered, each weighted by exponential decay
--- a/src/state/DirectoryChange.h
+++ b/src/state/DirectoryChange.h
@@ -33,6 +33,13 @@
     std::uint64_t revision { 0 }; // of the store
 };
 
-using DirectoryChange = std::variant<RouteTableWritten, HostWritten, HostRemoved, EntryRefused>;
+// The operator has asked for the evacuation of an availability zone, or has taken the request back.
+struct EvacuationChanged {
+    std::string availabilityZone;
+    bool evacuated { false };
+    std::uint64_t revision { 0 }; // of the store
+};
+
+using DirectoryChange = std::variant<RouteTableWritten, HostWritten, HostRemoved, EntryRefused, EvacuationChanged>;
 
 }
--- /dev/null
+++ b/src/state/EvacuatedZones.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace chicoryferry {
+
+// The availability zones that the operator has asked to evacuate. Requests may arrive in any order and are ordered by
+// the revision of the store.
+class EvacuatedZones {
+public:
+    using TimePoint = std::chrono::steady_clock::time_point;
+
+    enum class Effect {
+        None,
+        Changed,
+        RefusedOlder,
+    };
+
+    // Handles a change that the store reports.
+    Effect change(const std::string& availabilityZone, bool evacuated, std::uint64_t revision);
+
+    // Delimit a listing of all requests. A zone without a listed request is no longer evacuated, unless it has changed
+    // after the revision of the listing. The listing of a new era only takes effect when expire() ends the retention.
+    void beginListing() { this->listed.clear(); }
+    Effect list(const std::string& availabilityZone, std::uint64_t revision);
+    // Returns whether the evacuated zones have changed.
+    bool endListing(std::uint64_t revision);
+
+    // The store has come back from an older copy: what it has forgotten stays in force for eraRetention, in which the
+    // operator writes it again.
+    void beginEra(TimePoint now);
+
+    // Takes over what the store has said since the era began, once the retention has ended. Returns whether the
+    // evacuated zones have changed.
+    bool expire(TimePoint now);
+
+    // Names of the evacuated zones.
+    std::set<std::string, std::less<>> names() const;
+
+    // With each evacuated zone, the revision of its request.
+    std::map<std::string, std::uint64_t> requests() const;
+
+    // Longer than the delay of a writer that repeats its requests every few seconds.
+    static constexpr std::chrono::seconds eraRetention { 10 };
+
+private:
+    struct Zone {
+        bool evacuated { false };
+        std::uint64_t revision { 0 };
+        std::optional<bool> retained; // what the new era's listing says; `evacuated` is that of the era before
+    };
+
+    std::map<std::string, Zone> zones;
+    std::set<std::string> listed;
+    std::optional<TimePoint> eraSince;
+};
+
+}
--- a/src/state/HostDirectory.cpp
+++ b/src/state/HostDirectory.cpp
@@ -56,6 +56,26 @@
     return removed.malformed ? Effect::RefusedMalformed : Effect::None;
 }
 
+HostDirectory::Effect HostDirectory::applyEvacuation(const EvacuationChanged& request)
+{
+    // All changes up to knownRevision are known, as for hosts.
+    if (!this->isListing && request.revision < this->knownRevision) {
+        return Effect::RefusedOlder;
+    }
+    const auto effect = this->isListing && request.evacuated
+        ? this->evacuations.list(request.availabilityZone, request.revision)
+        : this->evacuations.change(request.availabilityZone, request.evacuated, request.revision);
+    switch (effect) {
+    case EvacuatedZones::Effect::None:
+        return Effect::None;
+    case EvacuatedZones::Effect::Changed:
+        return Effect::EvacuationChanged;
+    case EvacuatedZones::Effect::RefusedOlder:
+        break;
+    }
+    return Effect::RefusedOlder;
+}
+
 void HostDirectory::applyRoutes(const RouteTable& next, TimePoint now)
 {
     for (const auto& [address, route] : this->table.routes) {
@@ -109,6 +129,7 @@
                           [&](const HostWritten& written) { return this->applyHost(written, now); },
                           [&](const HostRemoved& removed) { return this->applyRemoval(removed, now); },
                           [](const EntryRefused&) { return Effect::RefusedMalformed; },
+                          [&](const EvacuationChanged& request) { return this->applyEvacuation(request); },
                       },
         change);
 }
@@ -116,12 +137,13 @@
 void HostDirectory::beginListing()
 {
     this->listed.clear();
+    this->evacuations.beginListing();
     this->isListing = true;
 }
 
 bool HostDirectory::endListing(std::uint64_t revision, TimePoint now)
 {
-    bool changed = false;
+    bool changed = this->evacuations.endListing(revision);
     std::vector<std::string> missing;
     for (const auto& [id, host] : this->known) {
         if (!this->listed.contains(id) && host.revision <= revision) {
@@ -152,9 +174,11 @@
     if (this->incompleteSince && now - *this->incompleteSince >= missingHostTimeout) {
         this->incompleteSince.reset();
     }
-    return std::erase_if(this->known, [&](const auto& item) {
+    const bool evacuationsChanged = this->evacuations.expire(now);
+    const auto removed = std::erase_if(this->known, [&](const auto& item) {
         return item.second.missingSince && now - *item.second.missingSince >= missingHostTimeout;
-    }) > 0;
+    });
+    return removed > 0 || evacuationsChanged;
 }
 
 const FlowRoute* HostDirectory::route(const Endpoint& address) const
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -3,6 +3,7 @@
 #include "protocol/HostEntry.h"
 #include "protocol/RouteTable.h"
 #include "state/DirectoryChange.h"
+#include "state/EvacuatedZones.h"
 
 #include <algorithm>
 #include <chrono>
@@ -35,6 +36,7 @@
         None,
         HostsChanged,
         RoutesChanged,
+        EvacuationChanged,
         RefusedOlder,
         RefusedMalformed,
     };
@@ -52,7 +54,7 @@
     // stays in use for missingHostTimeout, because running hosts rewrite their entries within that time; a draining
     // host is removed at once.
     void beginListing();
-    // Returns whether hosts were removed.
+    // Returns whether hosts were removed or evacuations have ended.
     bool endListing(std::uint64_t revision, TimePoint now);
     // Ends a listing of which not all pages could be read, so that it does not show which hosts are missing.
     void abandonListing() { this->isListing = false; }
@@ -75,6 +77,8 @@
     // and a newer one removed it.
     bool isRemovedRoute(const Endpoint& address) const { return this->removedRoutes.contains(address); }
 
+    const EvacuatedZones& evacuatedZones() const { return this->evacuations; }
+
     // Null when the configuration in force has no route to the address.
     const FlowRoute* route(const Endpoint& address) const;
 
@@ -93,6 +97,7 @@
 private:
     Effect applyHost(const HostWritten&, TimePoint now);
     Effect applyRemoval(const HostRemoved&, TimePoint now);
+    Effect applyEvacuation(const EvacuationChanged&);
 
     void applyRoutes(const RouteTable&, TimePoint now);
     bool isMorePlausible(const KnownHost&, const KnownHost&) const;
@@ -101,6 +106,7 @@
     std::set<std::string, std::less<>> routedServices; // services that a route of the table names
     std::map<Endpoint, TimePoint> removedRoutes; // with the time of their removal
     std::map<std::string, KnownHost> known;
+    EvacuatedZones evacuations;
     std::uint64_t knownRevision { 0 };
     bool isListing { false };
     std::set<std::string> listed;
