Cold backend servers get a limited number of first packets in any second

Cause: warmup and cold-per-s of the configuration had no effect. Change: ServiceLimits from the configuration, passed with each offer; ColdStartLimiter at the agent, the only process that sees all first packets, with a sliding window; the wait is reported, so that balancers go elsewhere.

--- a/src/app/AgentNode.cpp
+++ b/src/app/AgentNode.cpp
@@ -148,7 +148,8 @@
     }
     if (steered.purpose == SteeringPurpose::NewFlow && packet->isFirst()) {
         this->recipients.recordOffer(balancer, now);
-        this->admission.handleNewFlow({ balancer, steered.waitLimit, steered.priority, steered.urgency, steered.slots },
+        this->admission.handleNewFlow({ balancer, steered.waitLimit, steered.priority, steered.urgency, steered.slots,
+                                          steered.coldRemaining, steered.coldStartsPerSecond },
             steered.service, *packet, steered.datagram, now, this->actions);
     } else {
         this->admission.handleCallerPacket(
--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -95,7 +95,7 @@
 void BalancerNode::publishSnapshot()
 {
     this->snapshotRevision = this->reader.revision();
-    std::string encoded = encodeSnapshot(this->directory, this->snapshotRevision);
+    std::string encoded = encodeSnapshot(this->directory, this->snapshotRevision, std::chrono::steady_clock::now());
     const std::lock_guard lock(this->snapshotMutex);
     this->encodedSnapshot = std::move(encoded);
 }
@@ -346,7 +346,8 @@
 void BalancerNode::sendHellos(TimePoint now)
 {
     this->nextHello = now + helloInterval;
-    if (this->snapshotRevision != this->reader.revision()) {
+    // A snapshot says how much longer hosts are cold.
+    if (this->snapshotRevision != this->reader.revision() || this->directory.hasColdHost(now)) {
         this->publishSnapshot();
     }
     const auto zones = this->directory.evacuatedZones().names();
--- a/src/app/DirectorySnapshot.cpp
+++ b/src/app/DirectorySnapshot.cpp
@@ -4,6 +4,7 @@
 #include "steering.pb.h"
 #include "support/Overloaded.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace chicoryferry {
@@ -29,6 +30,9 @@
     RouteTable table;
     table.version = snapshot.configuration_version();
     table.idleTimeout = milliseconds(snapshot.idle_timeout_ms());
+    for (const auto& item : snapshot.services()) {
+        table.services[item.service()] = { item.cold_starts_per_second() };
+    }
     for (const auto& item : snapshot.routes()) {
         table.routes[{ item.address(), static_cast<std::uint16_t>(item.port()) }]
             = { readTarget(item), item.idempotent(), milliseconds(item.target_latency_ms()),
@@ -60,7 +64,8 @@
 
 }
 
-std::string encodeSnapshot(const HostDirectory& directory, std::uint64_t revision)
+std::string encodeSnapshot(
+    const HostDirectory& directory, std::uint64_t revision, std::chrono::steady_clock::time_point now)
 {
     wire::DirectorySnapshot snapshot;
     snapshot.set_revision(revision);
@@ -76,6 +81,11 @@
         item.set_timeout_ms(static_cast<std::uint32_t>(route.timeout.count()));
         item.set_priority(route.priority);
     }
+    for (const auto& [name, limits] : directory.routes().services) {
+        auto& item = *snapshot.add_services();
+        item.set_service(name);
+        item.set_cold_starts_per_second(limits.coldStartsPerSecond);
+    }
     snapshot.set_incomplete(!directory.isComplete());
     snapshot.set_lists_zones(true);
     for (const auto& [zone, requestRevision] : directory.evacuatedZones().requests()) {
@@ -97,6 +107,7 @@
         item.set_draining(host->entry.draining);
         item.set_started_at_ms(host->entry.startedAtMs);
         item.set_revision(host->revision);
+        item.set_cold_remaining_ms(static_cast<std::uint32_t>(host->coldRemaining(now).count()));
     }
     return snapshot.SerializeAsString();
 }
@@ -121,10 +132,11 @@
         if (!isValid(item)) {
             return std::nullopt;
         }
-        result.changes.emplace_back(HostWritten {
-            { item.id(), item.service(), { item.address(), static_cast<std::uint16_t>(item.port()) },
-                item.availability_zone(), item.slots(), item.draining(), milliseconds(0), item.started_at_ms() },
-            item.revision() > 0 ? item.revision() : snapshot.revision() });
+        result.changes.emplace_back(
+            HostWritten { { item.id(), item.service(), { item.address(), static_cast<std::uint16_t>(item.port()) },
+                              item.availability_zone(), item.slots(), item.draining(),
+                              milliseconds(item.cold_remaining_ms()), item.started_at_ms() },
+                item.revision() > 0 ? item.revision() : snapshot.revision() });
     }
     return result;
 }
--- a/src/app/DirectorySnapshot.h
+++ b/src/app/DirectorySnapshot.h
@@ -2,6 +2,7 @@
 
 #include "state/DirectoryChange.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -19,7 +20,7 @@
     bool listsZones { false }; // false: of a version that does not know evacuations
 };
 
-std::string encodeSnapshot(const HostDirectory&, std::uint64_t revision);
+std::string encodeSnapshot(const HostDirectory&, std::uint64_t revision, std::chrono::steady_clock::time_point now);
 
 // Returns std::nullopt if the bytes are not a valid snapshot.
 std::optional<DirectorySnapshot> decodeSnapshot(const std::string& bytes);
--- a/src/app/SteeringMessages.cpp
+++ b/src/app/SteeringMessages.cpp
@@ -77,7 +77,8 @@
     ReportMessage message;
     message.load = { report.lifetime(), report.sequence(), report.service(), report.slots(), report.working(),
         report.opening(), report.held(), report.held_late(), report.demand_percent(), report.long_running(),
-        std::chrono::microseconds(report.mean_work_us()), report.leaving() };
+        std::chrono::microseconds(report.mean_work_us()), report.leaving(),
+        std::chrono::milliseconds(report.start_wait_ms()) };
     message.balancers.assign(report.balancers().begin(), report.balancers().end());
     for (const wire::FlowVerdict& item : report.verdicts()) {
         for (const auto& [wireVerdict, verdict] : verdicts) {
@@ -107,6 +108,8 @@
     steered.set_priority(packet.priority);
     steered.set_late(packet.urgency == FlowUrgency::Late);
     steered.set_slots(packet.slots);
+    steered.set_cold_remaining_ms(static_cast<std::uint32_t>(packet.coldRemaining.count()));
+    steered.set_cold_starts_per_second(static_cast<float>(packet.coldStartsPerSecond));
     return encodeHeaderFrame(*this->header, output);
 }
 
@@ -134,6 +137,7 @@
     report.set_long_running(load.longRunning);
     report.set_mean_work_us(static_cast<std::uint32_t>(load.meanWork.count()));
     report.set_leaving(load.leaving);
+    report.set_start_wait_ms(static_cast<std::uint32_t>(load.startWait.count()));
     report.mutable_balancers()->Add(message.balancers.begin(), message.balancers.end());
     for (const VerdictMessage& verdict : message.verdicts) {
         wire::FlowVerdict& item = *report.add_verdicts();
@@ -186,7 +190,8 @@
         const wire::SteeredPacket& steered = this->header->packet();
         return SteerPacket { {}, fromWire(steered.purpose()), steered.service(),
             std::chrono::milliseconds(steered.wait_limit_ms()), steered.priority(),
-            steered.late() ? FlowUrgency::Late : FlowUrgency::InTime, steered.slots(), {}, {}, *payload };
+            steered.late() ? FlowUrgency::Late : FlowUrgency::InTime, steered.slots(), {}, {}, *payload,
+            std::chrono::milliseconds(steered.cold_remaining_ms()), steered.cold_starts_per_second() };
     }
     if (this->header->has_report()) {
         auto report = readReport(this->header->report());
--- a/src/coordination/AgentLoad.cpp
+++ b/src/coordination/AgentLoad.cpp
@@ -34,10 +34,11 @@
 
 std::chrono::microseconds expectedWait(const AgentLoad& load, std::uint32_t more, FlowUrgency urgency)
 {
+    const std::chrono::microseconds startWait = load.startWait;
     if (urgency == FlowUrgency::InTime) {
-        return expectedQueueingTime(load, load.occupied() + more);
+        return std::max(startWait, expectedQueueingTime(load, load.occupied() + more));
     }
-    const auto wait = expectedQueueingTime(load, load.occupied() + load.heldLate + more);
+    const auto wait = std::max(startWait, expectedQueueingTime(load, load.occupied() + load.heldLate + more));
     if (wait.count() == 0) {
         return wait;
     }
--- a/src/coordination/FlowPlacement.cpp
+++ b/src/coordination/FlowPlacement.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+using std::chrono::milliseconds;
+
 // Additional work time of a recently started backend server as a fraction of the mean: requests take 1.6 times as long
 // according to the users' site files.
 constexpr double coldSlowdown = 0.6;
@@ -36,7 +38,7 @@
 // draining agents are ranked here but not at the placement.
 constexpr std::size_t likelyOwnersNearAndFar = 6;
 
-double milliseconds(std::chrono::microseconds duration) { return static_cast<double>(duration.count()) / 1000.0; }
+double inMilliseconds(std::chrono::microseconds duration) { return static_cast<double>(duration.count()) / 1000.0; }
 
 }
 
@@ -48,6 +50,12 @@
 {
 }
 
+std::chrono::milliseconds FlowPlacement::State::coldRemaining(TimePoint now) const
+{
+    const auto until = this->entries[this->selected].learnedAt + this->host().coldRemaining;
+    return std::max(milliseconds(0), std::chrono::ceil<milliseconds>(until - now));
+}
+
 bool FlowPlacement::hasEntryFor(const State& state, std::string_view service)
 {
     return std::any_of(
@@ -146,10 +154,11 @@
     const bool known = state.reported && now - state.reportedAt < loadReportLifetime(this->states.size());
     AgentLoad load = known ? state.load : AgentLoad {};
     load.slots = std::max(1U, state.host().slots);
+    load.startWait -= std::min(load.startWait, std::chrono::floor<milliseconds>(now - state.reportedAt));
     wait = expectedWait(load, state.unanswered, urgency);
-    double total = milliseconds(wait) + occupancyCostMs * (load.occupied() + state.unanswered) / load.slots;
-    if (state.entries[state.selected].learnedAt + state.host().coldRemaining > now) {
-        total += coldSlowdown * milliseconds(load.meanWork.count() > 0 ? load.meanWork : defaultMeanWork);
+    double total = inMilliseconds(wait) + occupancyCostMs * (load.occupied() + state.unanswered) / load.slots;
+    if (state.coldRemaining(now).count() > 0) {
+        total += coldSlowdown * inMilliseconds(load.meanWork.count() > 0 ? load.meanWork : defaultMeanWork);
     }
     if (state.host().availabilityZone != this->availabilityZone) {
         total += otherZoneCostMs;
@@ -188,10 +197,9 @@
         std::chrono::microseconds wait {};
         const double agentCost = this->cost(state, urgency, now, wait);
         if (!best || agentCost < bestCost) {
-            const auto age = state.reported
-                ? std::chrono::duration_cast<std::chrono::milliseconds>(now - state.reportedAt)
-                : std::chrono::milliseconds(-1);
-            best = PlacementChoice { address, wait, age, state.host().slots };
+            const auto age
+                = state.reported ? std::chrono::duration_cast<milliseconds>(now - state.reportedAt) : milliseconds(-1);
+            best = PlacementChoice { address, wait, age, state.host().slots, state.coldRemaining(now) };
             bestCost = agentCost;
         }
     }
--- a/src/coordination/FlowPlacement.h
+++ b/src/coordination/FlowPlacement.h
@@ -28,6 +28,7 @@
     std::chrono::microseconds expectedWait { 0 }; // for a free slot
     std::chrono::milliseconds loadAge { 0 }; // age of the load report used; negative: no report was available
     std::uint32_t slots { 1 };
+    std::chrono::milliseconds coldRemaining { 0 }; // how much longer the backend server is cold
 };
 
 // Chooses the agent for a new flow: of the flow's candidates, the one that is expected to have a free slot first,
@@ -118,6 +119,7 @@
         std::uint32_t unanswered { 0 }; // number of flows sent whose verdict is outstanding
 
         const HostEntry& host() const { return this->entries[this->selected].host; }
+        std::chrono::milliseconds coldRemaining(TimePoint now) const;
     };
 
     static bool isLeaving(const State& state) { return state.draining || (state.reported && state.load.leaving); }
--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -153,6 +153,13 @@
     return std::string(*selected);
 }
 
+double FlowSteering::coldStartsPerSecond(std::string_view service) const
+{
+    const auto& services = this->directory.routes().services;
+    const auto limits = services.find(service);
+    return limits == services.end() ? 0 : limits->second.coldStartsPerSecond;
+}
+
 bool FlowSteering::place(const FlowKey& key, Opening& opening, TimePoint now, std::vector<SteeringAction>& actions)
 {
     if (!this->directory.hasRoutes()) {
@@ -197,7 +204,8 @@
     opening.deadline = now + verdictTimeout;
     this->placement.recordFlowSent(choice->agent);
     actions.emplace_back(SteerPacket { choice->agent, SteeringPurpose::NewFlow, serviceHash(*service), limit,
-        route->priority, urgency, choice->slots, choice->expectedWait, choice->loadAge, opening.datagram });
+        route->priority, urgency, choice->slots, choice->expectedWait, choice->loadAge, opening.datagram,
+        choice->coldRemaining, this->coldStartsPerSecond(*service) });
     return true;
 }
 
--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -60,6 +60,7 @@
     , readAnswer(std::move(answerReader))
     , startedAt(now)
     , flowLifetime(longestFlow)
+    , coldStarts(now)
 {
 }
 
@@ -127,6 +128,7 @@
     const double slotSeconds = this->decayedDemand(now) / seconds(demandWindow) * seconds(mean);
     load.demandPercent
         = static_cast<std::uint32_t>(std::clamp(slotSeconds / this->slots * hundredPercent, 0.0, maxDemandPercent));
+    load.startWait = this->coldStarts.wait(now);
     load.longRunning = this->flows.workingLongerThan(mean * longRequestFactor, now);
     load.leaving = this->leaving || this->isBackendServerSilent(now);
     return load;
@@ -149,6 +151,7 @@
     if (offer.slots > 0) {
         this->slots = offer.slots;
     }
+    this->coldStarts.update(offer.coldRemaining, offer.coldStartsPerSecond, now);
     if (HostFlow* flow = this->flows.find(key)) {
         if (flow->phase == HostFlowPhase::Idle || flow->phase == HostFlowPhase::Working) {
             // A late copy. The backend server would return it, as if it did not hold the flow.
@@ -161,7 +164,10 @@
         }
         flow->balancer = offer.balancer;
         flow->lastPacket = now;
-        actions.emplace_back(DeliverToBackendServer { datagram });
+        if (this->coldStarts.wait(now).count() == 0) {
+            this->coldStarts.record(now);
+            actions.emplace_back(DeliverToBackendServer { datagram });
+        }
         actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::Admitted, {}, {} });
         return;
     }
@@ -199,11 +205,12 @@
         return;
     }
     actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::Admitted, wait, {} });
-    if (load.opening + load.working >= this->deliveryLimit(offer.urgency)) {
+    if (load.startWait.count() > 0 || load.opening + load.working >= this->deliveryLimit(offer.urgency)) {
         this->held.emplace(HeldPriority { offer.urgency, offer.priority },
             HeldFlow { key, offer, now, { datagram.begin(), datagram.end() } });
         return;
     }
+    this->coldStarts.record(now);
     this->flows.open(key, offer.balancer, now);
     actions.emplace_back(DeliverToBackendServer { datagram });
 }
@@ -430,7 +437,7 @@
 
 void HostAdmission::deliverHeld(TimePoint now, std::vector<AgentAction>& actions)
 {
-    while (!this->held.empty()
+    while (!this->held.empty() && this->coldStarts.wait(now).count() == 0
         && this->flows.opening() + this->flows.working()
             < this->deliveryLimit(this->held.begin()->second.offer.urgency)) {
         HeldFlow& next = this->delivered.emplace_back(std::move(this->held.begin()->second));
@@ -439,6 +446,7 @@
             actions.emplace_back(refuseHeld(next, now));
             continue;
         }
+        this->coldStarts.record(now);
         this->flows.open(next.flow, next.offer.balancer, now);
         actions.emplace_back(DeliverToBackendServer { next.datagram });
     }
--- a/src/coordination/HostAdmission.h
+++ b/src/coordination/HostAdmission.h
@@ -2,6 +2,7 @@
 
 #include "coordination/AgentAction.h"
 #include "coordination/AgentLoad.h"
+#include "coordination/ColdStartLimiter.h"
 #include "coordination/FlowQuery.h"
 #include "coordination/SteeringPurpose.h"
 #include "protocol/FlowPacket.h"
@@ -26,6 +27,8 @@
     std::uint32_t priority { 0 };
     FlowUrgency urgency { FlowUrgency::InTime };
     std::uint32_t slots { 0 }; // number of slots that the backend server publishes; 0: unknown
+    std::chrono::milliseconds coldRemaining { 0 }; // how much longer the backend server is cold
+    double coldStartsPerSecond { 0 }; // first packets that it then bears; 0: no limit
 };
 
 // Admission control at the agent: decides which flows are delivered to its backend server and when. Under overload the
@@ -146,6 +149,7 @@
     std::chrono::microseconds meanWork { 0 };
     bool leaving { false };
     bool evacuated { false };
+    ColdStartLimiter coldStarts;
     HostFlows flows;
     std::multimap<HeldPriority, HeldFlow> held; // in order of delivery: by priority, then by arrival
     double demand { 0 }; // number of in-time flows offered, each weighted by exponential decay
--- a/src/coordination/SteeringAction.h
+++ b/src/coordination/SteeringAction.h
@@ -30,6 +30,8 @@
     std::chrono::microseconds expectedWait { 0 }; // new flow: for a slot, from the agent's load report; not transmitted
     std::chrono::milliseconds loadAge { 0 }; // new flow: age of that report, negative: no report; not transmitted
     std::span<const std::uint8_t> datagram;
+    std::chrono::milliseconds coldRemaining { 0 }; // new flow: how much longer the backend server is cold
+    double coldStartsPerSecond { 0 }; // new flow: first packets that it then bears; 0: no limit
 };
 
 // Reset the flow so that the caller learns immediately that it is not served.
--- a/src/protocol/RouteTable.h
+++ b/src/protocol/RouteTable.h
@@ -2,10 +2,13 @@
 
 #include "protocol/Endpoint.h"
 #include "protocol/RouteTarget.h"
+#include "protocol/ServiceLimits.h"
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <string>
 
 namespace chicoryferry {
 
@@ -24,6 +27,7 @@
 struct RouteTable {
     std::uint64_t version { 0 };
     std::map<Endpoint, FlowRoute> routes;
+    std::map<std::string, ServiceLimits, std::less<>> services; // those with limits
     std::chrono::milliseconds idleTimeout { 15000 }; // flows that have been idle for longer may be removed
 
     bool operator==(const RouteTable&) const = default;
--- a/src/state/HostDirectory.cpp
+++ b/src/state/HostDirectory.cpp
@@ -6,6 +6,15 @@
 
 namespace chicoryferry {
 
+std::chrono::milliseconds KnownHost::coldRemaining(std::chrono::steady_clock::time_point now) const
+{
+    if (this->entry.coldRemaining.count() == 0) {
+        return std::chrono::milliseconds(0);
+    }
+    const auto left = this->learnedAt + this->entry.coldRemaining - now;
+    return std::max(std::chrono::milliseconds(0), std::chrono::ceil<std::chrono::milliseconds>(left));
+}
+
 HostDirectory::Effect HostDirectory::applyHost(const HostWritten& written, TimePoint now)
 {
     const HostEntry& entry = written.entry;
@@ -168,6 +177,12 @@
             [](const auto& item) { return item.second.missingSince.has_value(); });
 }
 
+bool HostDirectory::hasColdHost(TimePoint now) const
+{
+    return std::any_of(this->known.begin(), this->known.end(),
+        [&](const auto& item) { return item.second.coldRemaining(now).count() > 0; });
+}
+
 bool HostDirectory::expire(TimePoint now)
 {
     std::erase_if(this->removedRoutes, [&](const auto& item) { return now - item.second > removedRouteRetention; });
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -23,6 +23,9 @@
     std::uint64_t revision { 0 }; // store revision of the last change of the entry, which may be its removal
     std::chrono::steady_clock::time_point learnedAt; // when the entry last changed or reappeared
     std::optional<std::chrono::steady_clock::time_point> missingSince; // set while the store has no usable entry
+
+    // How much longer the backend server is cold; 0 if it is not.
+    std::chrono::milliseconds coldRemaining(std::chrono::steady_clock::time_point now) const;
 };
 
 // The route table and the backend servers as known to this process. Answers of the store and of peers may arrive in any
@@ -66,6 +69,8 @@
     // these have written their entries again or are gone.
     void markIncomplete(TimePoint now) { this->incompleteSince = now; }
 
+    bool hasColdHost(TimePoint now) const;
+
     // Removes hosts that have been missing for at least missingHostTimeout, and forgets routes that were removed more
     // than removedRouteRetention ago. Returns whether hosts were removed.
     bool expire(TimePoint now);
--- a/test/unit/EvacuationTest.cpp
+++ b/test/unit/EvacuationTest.cpp
@@ -96,7 +96,7 @@
         packet.destination = SteeringFixture::route;
         packet.opens = true;
         actions.clear();
-        admission.handleNewFlow({ { 9, 7720 }, milliseconds(100), 1, FlowUrgency::InTime, 1 },
+        admission.handleNewFlow({ { 9, 7720 }, milliseconds(100), 1, FlowUrgency::InTime, 1, {}, 0 },
             serviceHash("job"), packet, bytes, start, actions);
         return std::get<SendVerdict>(actions.front()).verdict;
     };
@@ -151,7 +151,7 @@
     }
     SUBCASE("a peer's snapshot has them")
     {
-        const auto snapshot = decodeSnapshot(encodeSnapshot(directory, 9));
+        const auto snapshot = decodeSnapshot(encodeSnapshot(directory, 9, start));
         REQUIRE(snapshot);
         CHECK(snapshot->listsZones);
         HostDirectory taken;
--- a/test/unit/FlowSteeringSearchTest.cpp
+++ b/test/unit/FlowSteeringSearchTest.cpp
@@ -289,7 +289,7 @@
     peer.endListing(5, {});
     const auto resetAfter = [&](milliseconds delay) {
         SteeringFixture balancer { 1 };
-        const auto snapshot = decodeSnapshot(encodeSnapshot(peer, 6));
+        const auto snapshot = decodeSnapshot(encodeSnapshot(peer, 6, {}));
         REQUIRE(snapshot);
         balancer.directory.beginListing();
         balancer.directory.endListing(snapshot->revision, balancer.start);
--- a/test/unit/PeerBalancerDirectoryTest.cpp
+++ b/test/unit/PeerBalancerDirectoryTest.cpp
@@ -81,7 +81,7 @@
     directory.apply(RouteTableWritten { table }, start);
     const HostEntry entry { "i-1", "job", { 5, 8080 }, "zone", 3, true, {}, 77 };
     directory.apply(HostWritten { entry }, start);
-    const auto snapshot = decodeSnapshot(encodeSnapshot(directory, 33));
+    const auto snapshot = decodeSnapshot(encodeSnapshot(directory, 33, {}));
     REQUIRE(snapshot);
     CHECK(snapshot->revision == 33);
     REQUIRE(snapshot->changes.size() == 2);
--- a/test/unit/StoreOrderTest.cpp
+++ b/test/unit/StoreOrderTest.cpp
@@ -283,7 +283,7 @@
 
     void fetch(Balancer& balancer, const Balancer& peer)
     {
-        const auto snapshot = decodeSnapshot(encodeSnapshot(peer.directory, peer.directory.revision()));
+        const auto snapshot = decodeSnapshot(encodeSnapshot(peer.directory, peer.directory.revision(), {}));
         REQUIRE(snapshot);
         if (snapshot->revision <= balancer.directory.revision()) {
             return;
