--- a/src/app/AgentNode.cpp
+++ b/src/app/AgentNode.cpp
@@ -161,10 +161,10 @@
 void AgentNode::handleHello(const HelloMessage& hello, TimePoint now)
 {
     // A balancer that is behind, for example partitioned from the store, must not return the zone to use.
-    if (hello.state.revision < this->evacuationRevision) {
+    if (hello.state.version < this->evacuationVersion) {
         return;
     }
-    this->evacuationRevision = hello.state.revision;
+    this->evacuationVersion = hello.state.version;
     const bool isNamed
         = std::find(hello.evacuatedZones.begin(), hello.evacuatedZones.end(), this->settings.availabilityZone)
         != hello.evacuatedZones.end();
@@ -174,7 +174,7 @@
     this->evacuated = isNamed;
     this->log.log(EventLog::Importance::Notable, isNamed ? "evacuated" : "evacuation_ended",
         { { "zone", this->settings.availabilityZone },
-            { "revision", static_cast<std::int64_t>(hello.state.revision) } });
+            { "revision", static_cast<std::int64_t>(hello.state.version.revision) } });
     this->admission.setEvacuated(isNamed, this->actions);
     this->perform(now);
 }
--- a/src/app/AgentNode.h
+++ b/src/app/AgentNode.h
@@ -73,7 +73,7 @@
     std::vector<AgentAction> actions;
     std::map<Endpoint, Balancer> balancers;
     ReportRecipients recipients;
-    std::uint64_t evacuationRevision { 0 }; // store revision of the last word on evacuated zones
+    StoreVersion evacuationVersion; // of the store, of the last word on evacuated zones
     bool evacuated { false };
     TimePoint nextTick;
     TimePoint nextReports;
--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -94,8 +94,8 @@
 
 void BalancerNode::publishSnapshot()
 {
-    this->snapshotRevision = this->reader.revision();
-    std::string encoded = encodeSnapshot(this->directory, this->snapshotRevision, std::chrono::steady_clock::now());
+    this->snapshotVersion = this->reader.version();
+    std::string encoded = encodeSnapshot(this->directory, std::chrono::steady_clock::now());
     const std::lock_guard lock(this->snapshotMutex);
     this->encodedSnapshot = std::move(encoded);
 }
@@ -129,7 +129,7 @@
     if (this->reader.isFetching()) {
         return;
     }
-    const auto peer = this->peers.newerPeer(this->reader.revision(), now);
+    const auto peer = this->peers.newerPeer(this->reader.version(), now);
     if (!peer) {
         this->behindSince.reset();
         return;
@@ -162,6 +162,7 @@
         // Agents receive packets on the same port on every machine.
         const Endpoint address { host->entry.address.address, this->settings.packetAddress.port };
         agents.push_back({ address, host->entry, host->learnedAt });
+        agents.back().host.draining = host->isDraining();
     }
     this->placement.setEvacuatedZones(this->directory.evacuatedZones().names());
     if (this->placement.setAgents(agents, now)) {
@@ -347,11 +348,11 @@
 {
     this->nextHello = now + helloInterval;
     // A snapshot says how much longer hosts are cold.
-    if (this->snapshotRevision != this->reader.revision() || this->directory.hasColdHost(now)) {
+    if (this->snapshotVersion != this->reader.version() || this->directory.hasColdHost(now)) {
         this->publishSnapshot();
     }
     const auto zones = this->directory.evacuatedZones().names();
-    HelloMessage message { { this->incarnation, this->reader.revision(), this->reader.available() }, {},
+    HelloMessage message { { this->incarnation, this->reader.version(), this->reader.available() }, {},
         { zones.begin(), zones.end() } };
     for (const Endpoint& peer : this->peers.livePeers(now, maximumListedPeers)) {
         message.balancers.push_back(peer.address);
--- a/src/app/BalancerNode.h
+++ b/src/app/BalancerNode.h
@@ -91,7 +91,7 @@
     bool stopping { false };
     mutable std::mutex snapshotMutex; // the HTTP threads read the snapshot
     std::string encodedSnapshot;
-    std::uint64_t snapshotRevision { 0 }; // store revision that the encoded snapshot holds
+    StoreVersion snapshotVersion; // of the store, that the encoded snapshot holds
     std::atomic<bool> ready { false };
     std::atomic<std::uint64_t> configurationVersion { 0 };
     std::atomic<std::uint64_t> flowCount { 0 };
--- a/src/app/DirectorySnapshot.cpp
+++ b/src/app/DirectorySnapshot.cpp
@@ -64,11 +64,11 @@
 
 }
 
-std::string encodeSnapshot(
-    const HostDirectory& directory, std::uint64_t revision, std::chrono::steady_clock::time_point now)
+std::string encodeSnapshot(const HostDirectory& directory, std::chrono::steady_clock::time_point now)
 {
     wire::DirectorySnapshot snapshot;
-    snapshot.set_revision(revision);
+    snapshot.set_revision(directory.version().revision);
+    snapshot.set_era(directory.version().era);
     snapshot.set_configuration_version(directory.routes().version);
     snapshot.set_idle_timeout_ms(static_cast<std::uint32_t>(directory.routes().idleTimeout.count()));
     for (const auto& [address, route] : directory.routes().routes) {
@@ -104,7 +104,7 @@
         item.set_port(host->entry.address.port);
         item.set_availability_zone(host->entry.availabilityZone);
         item.set_slots(host->entry.slots);
-        item.set_draining(host->entry.draining);
+        item.set_draining(host->isDraining());
         item.set_started_at_ms(host->entry.startedAtMs);
         item.set_revision(host->revision);
         item.set_cold_remaining_ms(static_cast<std::uint32_t>(host->coldRemaining(now).count()));
@@ -119,7 +119,7 @@
         return std::nullopt;
     }
     DirectorySnapshot result;
-    result.revision = snapshot.revision();
+    result.version = { snapshot.era(), snapshot.revision() };
     result.incomplete = snapshot.incomplete();
     if (snapshot.configuration_version() > 0) {
         result.changes.emplace_back(RouteTableWritten { readRoutes(snapshot) });
--- a/src/app/DirectorySnapshot.h
+++ b/src/app/DirectorySnapshot.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "state/DirectoryChange.h"
+#include "state/StoreVersion.h"
 
 #include <chrono>
 #include <cstdint>
@@ -14,13 +15,13 @@
 
 // The directory as a balancer sends it to a peer that holds an older store revision.
 struct DirectorySnapshot {
-    std::uint64_t revision { 0 };
+    StoreVersion version;
     std::vector<DirectoryChange> changes; // together the complete directory
     bool incomplete { false }; // running hosts may be left out
     bool listsZones { false }; // false: of a version that does not know evacuations
 };
 
-std::string encodeSnapshot(const HostDirectory&, std::uint64_t revision, std::chrono::steady_clock::time_point now);
+std::string encodeSnapshot(const HostDirectory&, std::chrono::steady_clock::time_point now);
 
 // Returns std::nullopt if the bytes are not a valid snapshot.
 std::optional<DirectorySnapshot> decodeSnapshot(const std::string& bytes);
--- a/src/app/SteeringMessages.cpp
+++ b/src/app/SteeringMessages.cpp
@@ -156,7 +156,8 @@
     wire::BalancerHello& hello = *this->header->mutable_hello();
     hello.Clear();
     hello.set_lifetime(message.state.incarnation);
-    hello.set_revision(message.state.revision);
+    hello.set_revision(message.state.version.revision);
+    hello.set_era(message.state.version.era);
     hello.set_store_available(message.state.storeAvailable);
     hello.mutable_balancers()->Add(message.balancers.begin(), message.balancers.end());
     std::size_t zoneBytes = 0;
@@ -199,7 +200,7 @@
     }
     if (this->header->has_hello()) {
         const wire::BalancerHello& hello = this->header->hello();
-        return HelloMessage { { hello.lifetime(), hello.revision(), hello.store_available() },
+        return HelloMessage { { hello.lifetime(), { hello.era(), hello.revision() }, hello.store_available() },
             { hello.balancers().begin(), hello.balancers().end() },
             { hello.evacuated_zones().begin(), hello.evacuated_zones().end() } };
     }
--- a/src/app/StoreReader.cpp
+++ b/src/app/StoreReader.cpp
@@ -118,8 +118,12 @@
         this->handleFetchFailure("read answer", "answer is not a valid directory snapshot");
         return;
     }
-    if (snapshot->revision <= this->directory.revision()) {
-        return; // this process's store calls have already reached this revision
+    if (snapshot->version <= this->directory.version()) {
+        return; // this process's store calls have already reached this version
+    }
+    if (snapshot->version.era > this->directory.version().era) {
+        this->directory.beginEra(snapshot->version.era, now);
+        this->logEra();
     }
     this->directory.beginListing();
     if (!snapshot->listsZones) {
@@ -127,7 +131,7 @@
             this->directory.apply(EvacuationChanged { zone, true, revision }, now);
         }
     }
-    this->apply(snapshot->changes, snapshot->revision, now);
+    this->apply(snapshot->changes, snapshot->version.revision, now);
     if (this->listing) {
         // The peer's state makes a listing in progress unnecessary.
         this->listing = false;
@@ -135,14 +139,16 @@
         this->exchange.reset();
         this->nextCall = now;
     }
-    if (this->directory.endListing(snapshot->revision, now)) {
+    if (this->directory.endListing(snapshot->version.revision, now)) {
         this->onChange();
     }
     if (snapshot->incomplete) {
         this->directory.markIncomplete(now);
     }
     this->log.log(EventLog::Importance::Notable, "peer_state_taken",
-        { { "peer", formatEndpoint(this->fetchPeer) }, { "revision", static_cast<std::int64_t>(snapshot->revision) },
+        { { "peer", formatEndpoint(this->fetchPeer) },
+            { "revision", static_cast<std::int64_t>(snapshot->version.revision) },
+            { "era", static_cast<std::int64_t>(snapshot->version.era) },
             { "configuration", static_cast<std::int64_t>(this->directory.routes().version) } });
 }
 
@@ -184,16 +190,54 @@
     }
 }
 
+void StoreReader::startListing(TimePoint now)
+{
+    this->listing = true;
+    this->listAfter.clear();
+    this->nextCall = now;
+}
+
+void StoreReader::logEra()
+{
+    this->metrics.events("store_era").Increment();
+    this->log.log(EventLog::Importance::Notable, "store_era",
+        { { "era", static_cast<std::int64_t>(this->directory.version().era) },
+            { "configuration", static_cast<std::int64_t>(this->directory.routes().version) } });
+}
+
+bool StoreReader::acceptEra(std::uint64_t era, TimePoint now)
+{
+    const StoreVersion known = this->directory.version();
+    const bool isFirstPage = this->listing && this->listAfter.empty();
+    // A listing has to have all of its pages from one era; the first one begins it.
+    const std::uint64_t expected = this->listing && !isFirstPage ? this->listEra : known.era;
+    this->answerEra = era;
+    if (era == expected || (isFirstPage && era > known.era)) {
+        return true;
+    }
+    if (era < expected) {
+        this->metrics.refusals("read store", "older_era").Increment();
+        this->handleFailure("read store", "the answer is of an earlier era of the store", now);
+        return false;
+    }
+    // The store has come back from an older copy. The changes of a watch began at a revision of the earlier era.
+    this->startListing(now);
+    return false;
+}
+
 void StoreReader::onResult(const HttpExchange::Result& result)
 {
     const auto now = std::chrono::steady_clock::now();
     this->finishedExchange = std::move(this->exchange);
+    const bool isAnswer = result.status == httpOk || result.status == httpGone;
+    if (isAnswer && !this->acceptEra(platform::parseStoreEra(result.headers), now)) {
+        return;
+    }
     if (!this->listing && (result.status == httpGone || result.tooLarge)) {
         // The same watch would fail again; a listing has each entry once.
         this->log.log(EventLog::Importance::Notable, result.tooLarge ? "store_changes_too_large" : "store_history_gone",
             { { "revision", static_cast<std::int64_t>(this->directory.revision()) } });
-        this->listing = true;
-        this->nextCall = now;
+        this->startListing(now);
         return;
     }
     if (result.status == 0) {
@@ -319,6 +363,11 @@
         // The pages of a listing are not a consistent snapshot. The watch therefore starts at the revision of the first
         // page, to receive all later changes.
         this->listRevision = answer.revision;
+        this->listEra = this->answerEra;
+        if (this->answerEra > this->directory.version().era) {
+            this->directory.beginEra(this->answerEra, now);
+            this->logEra();
+        }
         this->directory.beginListing();
     }
     this->apply(answer.changes, answer.revision, now);
--- a/src/app/StoreReader.h
+++ b/src/app/StoreReader.h
@@ -48,7 +48,7 @@
     void fetchFrom(const Endpoint& peer, TimePoint now);
     bool isFetching() const { return this->fetch != nullptr; }
 
-    std::uint64_t revision() const { return this->directory.revision(); }
+    StoreVersion version() const { return this->directory.version(); }
 
     // Whether the last store call succeeded; false until the first success.
     bool available() const { return this->answered && !this->unavailable; }
@@ -60,12 +60,16 @@
     void startCall(TimePoint now);
     void onResult(const HttpExchange::Result&);
     void onFetched(const HttpExchange::Result&);
+    // Handles the era that an answer states. Returns whether the answer can be used.
+    bool acceptEra(std::uint64_t era, TimePoint now);
+    void startListing(TimePoint now);
     void applyListing(const platform::StoreAnswer&, TimePoint now);
     void applyEvents(const platform::StoreAnswer&, TimePoint now);
     void apply(const std::vector<DirectoryChange>&, std::uint64_t revision, TimePoint now);
     void logEffect(const DirectoryChange&, HostDirectory::Effect, std::uint64_t revision);
     void logRefusedEntry(const DirectoryChange&, std::uint64_t revision);
     void logHostWritten(const HostEntry&, std::uint64_t revision);
+    void logEra();
     void logEvacuations(std::uint64_t revision);
     void logHostRemoved(std::string_view host, std::uint64_t revision);
     void handleFetchFailure(const std::string& step, const std::string& reason);
@@ -94,6 +98,8 @@
     bool listing { true };
     std::string listAfter;
     std::uint64_t listRevision { 0 };
+    std::uint64_t listEra { 0 }; // of the first page of the listing in progress
+    std::uint64_t answerEra { 0 }; // of the answer that is being handled
     bool unavailable { false };
     std::chrono::milliseconds backoff { 0 };
 };
--- a/src/state/HostDirectory.cpp
+++ b/src/state/HostDirectory.cpp
@@ -32,7 +32,8 @@
     if (!added && written.revision > 0 && written.revision == host.revision) {
         return Effect::None; // a peer's copy of the entry may have fewer fields
     }
-    const bool changed = added || host.entry != entry || host.missingSince;
+    const bool retained = this->retain(host, entry.id, !added && host.isDraining(), now);
+    const bool changed = added || host.entry != entry || host.missingSince || retained;
     host.revision = written.revision;
     host.missingSince.reset();
     if (changed) {
@@ -42,6 +43,39 @@
     return changed ? Effect::HostsChanged : Effect::None;
 }
 
+bool HostDirectory::retain(KnownHost& host, const std::string& id, bool wasDraining, TimePoint now) const
+{
+    const bool wasRetained = host.retainedUntil.has_value();
+    if (!this->isCopied(now)) {
+        host.retainedUntil.reset();
+        return wasRetained;
+    }
+    if (wasDraining || this->goneHosts.contains(id)) {
+        host.retainedUntil = *this->eraSince + missingHostTimeout;
+        host.retainedDraining = wasDraining;
+    }
+    return wasRetained != host.retainedUntil.has_value();
+}
+
+void HostDirectory::recordGone(const std::string& id, TimePoint now)
+{
+    constexpr std::size_t maximumGoneHosts = 4096; // bounds the memory; more would be gone within a minute
+    if (this->goneHosts.size() < maximumGoneHosts) {
+        this->goneHosts[id] = now;
+    }
+}
+
+void HostDirectory::beginEra(std::uint64_t nextEra, TimePoint now)
+{
+    this->era = nextEra;
+    this->knownRevision = 0;
+    this->eraSince = now;
+    for (auto& [id, host] : this->known) {
+        host.revision = 0;
+    }
+    this->evacuations.beginEra(now);
+}
+
 HostDirectory::Effect HostDirectory::applyRemoval(const HostRemoved& removed, TimePoint now)
 {
     const auto found = this->known.find(removed.id);
@@ -54,7 +88,9 @@
     found->second.revision = removed.revision;
     // A host whose own entry has become malformed is treated like one whose entry has gone: nothing says any longer
     // that it is in use, and a running host writes a valid entry again.
-    if (found->second.entry.draining) {
+    // A copy of the store may have forgotten a draining host that still has open flows.
+    if (found->second.entry.draining && !this->isCopied(now)) {
+        this->recordGone(removed.id, now);
         this->known.erase(found);
         return Effect::HostsChanged;
     }
@@ -190,10 +226,23 @@
         this->incompleteSince.reset();
     }
     const bool evacuationsChanged = this->evacuations.expire(now);
-    const auto removed = std::erase_if(this->known, [&](const auto& item) {
-        return item.second.missingSince && now - *item.second.missingSince >= missingHostTimeout;
-    });
-    return removed > 0 || evacuationsChanged;
+    bool changed = evacuationsChanged;
+    for (auto item = this->known.begin(); item != this->known.end();) {
+        KnownHost& host = item->second;
+        if (host.retainedUntil && now >= *host.retainedUntil) {
+            host.retainedUntil.reset();
+            changed = true;
+        }
+        if (!host.missingSince || now - *host.missingSince < missingHostTimeout) {
+            ++item;
+            continue;
+        }
+        this->recordGone(item->first, now);
+        item = this->known.erase(item);
+        changed = true;
+    }
+    std::erase_if(this->goneHosts, [&](const auto& item) { return now - item.second > goneHostRetention; });
+    return changed;
 }
 
 const FlowRoute* HostDirectory::route(const Endpoint& address) const
@@ -207,7 +256,9 @@
     std::vector<const KnownHost*> hosts;
     hosts.reserve(this->known.size());
     for (const auto& [id, host] : this->known) {
-        hosts.push_back(&host);
+        if (!host.isGone()) {
+            hosts.push_back(&host);
+        }
     }
     // Each machine has one host, so that entries with different ports of it name the same host.
     std::stable_sort(hosts.begin(), hosts.end(), [this](const KnownHost* left, const KnownHost* right) {
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -4,6 +4,7 @@
 #include "protocol/RouteTable.h"
 #include "state/DirectoryChange.h"
 #include "state/EvacuatedZones.h"
+#include "state/StoreVersion.h"
 
 #include <algorithm>
 #include <chrono>
@@ -24,6 +25,13 @@
     std::chrono::steady_clock::time_point learnedAt; // when the entry last changed or reappeared
     std::optional<std::chrono::steady_clock::time_point> missingSince; // set while the store has no usable entry
 
+    // While set: what an earlier era of the store said of the host, draining or gone, holds in place of the entry.
+    std::optional<std::chrono::steady_clock::time_point> retainedUntil;
+    bool retainedDraining { false }; // the host was draining; otherwise it was gone
+
+    bool isDraining() const { return this->entry.draining || (this->retainedUntil && this->retainedDraining); }
+    bool isGone() const { return this->retainedUntil && !this->retainedDraining; }
+
     // How much longer the backend server is cold; 0 if it is not.
     std::chrono::milliseconds coldRemaining(std::chrono::steady_clock::time_point now) const;
 };
@@ -46,8 +54,15 @@
 
     Effect apply(const DirectoryChange&, TimePoint now);
 
-    // Store revision up to which all changes are known; 0 before the first listing.
+    // Store revision up to which all changes are known; 0 before the first listing of the era.
     std::uint64_t revision() const { return this->knownRevision; }
+    StoreVersion version() const { return { this->era, this->knownRevision }; }
+
+    // The store has come back from an older copy. Everything known stays in force until the listing that has to follow
+    // has ended. What the copy has forgotten is written again by running hosts and by the operator: a host that the
+    // copy lacks counts as missing, one that was draining or gone stays so for missingHostTimeout, evacuations hold for
+    // EvacuatedZones::eraRetention, and the configuration never goes back.
+    void beginEra(std::uint64_t era, TimePoint now);
 
     // Records that all changes up to the revision have been applied.
     void advanceTo(std::uint64_t revision) { this->knownRevision = std::max(this->knownRevision, revision); }
@@ -72,7 +87,7 @@
     bool hasColdHost(TimePoint now) const;
 
     // Removes hosts that have been missing for at least missingHostTimeout, and forgets routes that were removed more
-    // than removedRouteRetention ago. Returns whether hosts were removed.
+    // than removedRouteRetention ago. Returns whether hosts or evacuated zones have changed.
     bool expire(TimePoint now);
 
     const RouteTable& routes() const { return this->table; }
@@ -99,9 +114,20 @@
     // Maximum lifetime of a flow on the users' platform; older flows need no answer.
     static constexpr std::chrono::milliseconds removedRouteRetention { 60000 };
 
+    // A copy from which the store comes back is some seconds old.
+    static constexpr std::chrono::milliseconds goneHostRetention { 60000 };
+
 private:
     Effect applyHost(const HostWritten&, TimePoint now);
     Effect applyRemoval(const HostRemoved&, TimePoint now);
+    // Returns whether the host is retained as draining or gone, as in the era before.
+    bool retain(KnownHost&, const std::string& id, bool wasDraining, TimePoint now) const;
+    // Whether what is being applied comes from an older copy of the store, not from a write of the present era.
+    bool isCopied(TimePoint now) const
+    {
+        return this->isListing && this->eraSince && now - *this->eraSince < missingHostTimeout;
+    }
+    void recordGone(const std::string& id, TimePoint now);
     Effect applyEvacuation(const EvacuationChanged&);
 
     void applyRoutes(const RouteTable&, TimePoint now);
@@ -112,7 +138,10 @@
     std::map<Endpoint, TimePoint> removedRoutes; // with the time of their removal
     std::map<std::string, KnownHost> known;
     EvacuatedZones evacuations;
+    std::uint64_t era { 0 };
     std::uint64_t knownRevision { 0 };
+    std::optional<TimePoint> eraSince; // last change of the era
+    std::map<std::string, TimePoint> goneHosts; // hosts whose removal a copy of the store may have forgotten
     bool isListing { false };
     std::set<std::string> listed;
     bool complete { false };
--- a/src/state/PeerBalancers.cpp
+++ b/src/state/PeerBalancers.cpp
@@ -43,9 +43,9 @@
         return;
     }
     Peer& peer = this->peers[address];
-    // Datagrams may arrive late. Within one incarnation the revision never decreases, so a lower one is outdated.
+    // Datagrams may arrive late. Within one incarnation the version never decreases, so a lower one is outdated.
     const bool older
-        = peer.helloReceived && peer.state.incarnation == state.incarnation && state.revision < peer.state.revision;
+        = peer.helloReceived && peer.state.incarnation == state.incarnation && state.version < peer.state.version;
     if (!older) {
         peer.state = state;
     }
@@ -107,14 +107,14 @@
     return static_cast<std::size_t>(before) < maximumReaders;
 }
 
-std::optional<Endpoint> PeerBalancers::newerPeer(std::uint64_t revision, TimePoint now) const
+std::optional<Endpoint> PeerBalancers::newerPeer(const StoreVersion& version, TimePoint now) const
 {
     std::optional<Endpoint> newest;
-    std::uint64_t newestRevision = revision;
+    StoreVersion newestVersion = version;
     for (const auto& [address, peer] : this->peers) {
-        if (this->isLive(peer, now) && now >= peer.noFetchBefore && peer.state.revision > newestRevision) {
+        if (this->isLive(peer, now) && now >= peer.noFetchBefore && peer.state.version > newestVersion) {
             newest = address;
-            newestRevision = peer.state.revision;
+            newestVersion = peer.state.version;
         }
     }
     return newest;
--- a/src/state/PeerBalancers.h
+++ b/src/state/PeerBalancers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "protocol/Endpoint.h"
+#include "state/StoreVersion.h"
 
 #include <chrono>
 #include <cstddef>
@@ -15,7 +16,7 @@
 // State of a balancer as reported in its last hello.
 struct BalancerState {
     std::uint64_t incarnation { 0 }; // random number drawn at each start of the process
-    std::uint64_t revision { 0 }; // store revision up to which it has all changes
+    StoreVersion version; // of the store, as known to the balancer
     bool storeAvailable { false }; // it reads the store directly and the store answers
 };
 
@@ -50,9 +51,9 @@
     // Whether this process reads the store. Only a few balancers do; the others fetch changes from them.
     bool isReader(TimePoint now) const;
 
-    // Returns the live peer with the highest store revision above the given one. Skips peers from which a fetch failed
+    // Returns the live peer with the highest store version above the given one. Skips peers from which a fetch failed
     // recently.
-    std::optional<Endpoint> newerPeer(std::uint64_t revision, TimePoint now) const;
+    std::optional<Endpoint> newerPeer(const StoreVersion&, TimePoint now) const;
 
     // Number of balancers that read the store. Kept small because every call to the store costs money and the store
     // serves a limited number of calls; with three, two readers may fail at the same time.
--- a/src/transport/HttpExchange.cpp
+++ b/src/transport/HttpExchange.cpp
@@ -4,12 +4,15 @@
 #include "transport/EventLoop.h"
 #include "transport/SocketAddress.h"
 
+#include <algorithm>
 #include <array>
+#include <cctype>
 #include <cerrno>
 #include <cstring>
 #include <fmt/format.h>
 #include <http_parser.h>
 #include <span>
+#include <string_view>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -19,6 +22,7 @@
 namespace {
 
 constexpr std::size_t readChunkBytes = 16384;
+constexpr std::size_t maximumHeaderBytes = 4096;
 
 }
 
@@ -39,6 +43,26 @@
             self.body.append(bytes, count);
             return 0;
         };
+        this->callbacks.on_header_field = [](http_parser* parser, const char* text, std::size_t count) {
+            Parser& self = *static_cast<Parser*>(parser->data);
+            if (self.inValue) {
+                self.appendHeader("\n");
+            }
+            self.inValue = false;
+            std::string name(text, count);
+            std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
+            self.appendHeader(name);
+            return 0;
+        };
+        this->callbacks.on_header_value = [](http_parser* parser, const char* text, std::size_t count) {
+            Parser& self = *static_cast<Parser*>(parser->data);
+            if (!self.inValue) {
+                self.appendHeader(": ");
+            }
+            self.inValue = true;
+            self.appendHeader({ text, count });
+            return 0;
+        };
         this->callbacks.on_message_complete = [](http_parser* parser) {
             static_cast<Parser*>(parser->data)->complete = true;
             return 0;
@@ -60,9 +84,18 @@
         return http_errno_description(HTTP_PARSER_ERRNO(&this->state));
     }
 
+    void appendHeader(std::string_view text)
+    {
+        if (this->headers.size() + text.size() <= maximumHeaderBytes) {
+            this->headers += text;
+        }
+    }
+
     http_parser state {};
     http_parser_settings callbacks {};
     std::size_t maximumBytes;
+    std::string headers;
+    bool inValue { false }; // the last part was of a header's value
     std::string body;
     bool complete { false };
     bool tooLarge { false };
@@ -113,14 +146,14 @@
     socklen_t length = sizeof(error);
     getsockopt(this->socketDescriptor, SOL_SOCKET, SO_ERROR, &error, &length);
     if (error != 0 || this->request.empty()) {
-        this->end({ 0, "", "connect", error != 0 ? std::strerror(error) : "address cannot be reached" });
+        this->end({ 0, "", "", "connect", error != 0 ? std::strerror(error) : "address cannot be reached" });
         return;
     }
     this->connected = true;
     // The request is far smaller than the socket's send buffer, so one call writes all of it.
     const auto sent = send(this->socketDescriptor, this->request.data(), this->request.size(), MSG_NOSIGNAL);
     if (sent != static_cast<ssize_t>(this->request.size())) {
-        this->end({ 0, "", "send request", "connection closed" });
+        this->end({ 0, "", "", "send request", "connection closed" });
         return;
     }
     this->loop.modify(this->socketDescriptor, EPOLLIN);
@@ -136,19 +169,20 @@
         }
         const int error = errno;
         if (count < 0) {
-            this->end({ 0, "", "read answer", std::strerror(error) });
+            this->end({ 0, "", "", "read answer", std::strerror(error) });
             return;
         }
         if (!this->parser->feed({ chunk.data(), static_cast<std::size_t>(count) })) {
-            this->end({ 0, "", "read answer", this->parser->errorDescription(), this->parser->tooLarge });
+            this->end({ 0, "", "", "read answer", this->parser->errorDescription(), this->parser->tooLarge });
             return;
         }
         if (this->parser->complete) {
-            this->end({ static_cast<int>(this->parser->state.status_code), std::move(this->parser->body), "", "" });
+            this->end({ static_cast<int>(this->parser->state.status_code), std::move(this->parser->headers),
+                std::move(this->parser->body), "", "" });
             return;
         }
         if (count == 0) {
-            this->end({ 0, "", "read answer", "answer is truncated" });
+            this->end({ 0, "", "", "read answer", "answer is truncated" });
             return;
         }
     }
--- a/src/transport/HttpExchange.h
+++ b/src/transport/HttpExchange.h
@@ -18,6 +18,7 @@
 public:
     struct Result {
         int status { 0 }; // 0: no answer
+        std::string headers; // lines of the form "name: value", with names in lower case, of at most 4 KB
         std::string body;
         std::string step; // at which the exchange failed, when there is no answer
         std::string reason;
--- a/test/unit/EntriesOfOneMachineTest.cpp
+++ b/test/unit/EntriesOfOneMachineTest.cpp
@@ -168,7 +168,7 @@
 {
     OneHost peer;
     write(peer, entryOf("other", "press-room", 200));
-    const auto snapshot = decodeSnapshot(encodeSnapshot(peer.directory, 33, {}));
+    const auto snapshot = decodeSnapshot(encodeSnapshot(peer.directory, {}));
     REQUIRE(snapshot);
     OneHost balancer;
     balancer.directory.beginListing();
--- a/test/unit/EvacuationTest.cpp
+++ b/test/unit/EvacuationTest.cpp
@@ -151,7 +151,7 @@
     }
     SUBCASE("a peer's snapshot has them")
     {
-        const auto snapshot = decodeSnapshot(encodeSnapshot(directory, 9, start));
+        const auto snapshot = decodeSnapshot(encodeSnapshot(directory, start));
         REQUIRE(snapshot);
         CHECK(snapshot->listsZones);
         HostDirectory taken;
@@ -159,7 +159,7 @@
         for (const DirectoryChange& item : snapshot->changes) {
             taken.apply(item, start);
         }
-        taken.endListing(snapshot->revision, start);
+        taken.endListing(snapshot->version.revision, start);
         CHECK(taken.evacuatedZones().requests() == directory.evacuatedZones().requests());
     }
 }
--- a/test/unit/FlowSteeringSearchTest.cpp
+++ b/test/unit/FlowSteeringSearchTest.cpp
@@ -289,10 +289,10 @@
     peer.endListing(5, {});
     const auto resetAfter = [&](milliseconds delay) {
         SteeringFixture balancer { 1 };
-        const auto snapshot = decodeSnapshot(encodeSnapshot(peer, 6, {}));
+        const auto snapshot = decodeSnapshot(encodeSnapshot(peer, {}));
         REQUIRE(snapshot);
         balancer.directory.beginListing();
-        balancer.directory.endListing(snapshot->revision, balancer.start);
+        balancer.directory.endListing(snapshot->version.revision, balancer.start);
         if (snapshot->incomplete) {
             balancer.directory.markIncomplete(balancer.start);
         }
--- a/test/unit/OddStoreEntriesTest.cpp
+++ b/test/unit/OddStoreEntriesTest.cpp
@@ -208,7 +208,7 @@
     const auto snapshotOf = [](const HostEntry& entry) {
         HostDirectory directory;
         directory.apply(HostWritten { entry }, {});
-        return decodeSnapshot(encodeSnapshot(directory, 3, {}));
+        return decodeSnapshot(encodeSnapshot(directory, {}));
     };
     const HostEntry good { "i-1", "job", { 5, 8080 }, "zone", 3, false, {}, 77 };
     CHECK(snapshotOf(good));
--- a/test/unit/PeerBalancerDirectoryTest.cpp
+++ b/test/unit/PeerBalancerDirectoryTest.cpp
@@ -36,9 +36,9 @@
 TEST_CASE("state is fetched from the live peer with the highest revision")
 {
     PeerBalancers peers(balancer(1));
-    peers.recordHello(balancer(2), { 1, 50, true }, start);
-    peers.recordHello(balancer(3), { 1, 60, true }, start);
-    peers.recordHello(balancer(3), { 1, 40, true }, start);
+    peers.recordHello(balancer(2), { 1, { 0, 50 }, true }, start);
+    peers.recordHello(balancer(3), { 1, { 0, 60 }, true }, start);
+    peers.recordHello(balancer(3), { 1, { 0, 40 }, true }, start);
     CHECK(peers.newerPeer(45, start) == balancer(3));
     CHECK_FALSE(peers.newerPeer(60, start));
     peers.fetchFailed(balancer(3), start);
@@ -81,9 +81,9 @@
     directory.apply(RouteTableWritten { table }, start);
     const HostEntry entry { "i-1", "job", { 5, 8080 }, "zone", 3, true, {}, 77 };
     directory.apply(HostWritten { entry }, start);
-    const auto snapshot = decodeSnapshot(encodeSnapshot(directory, 33, {}));
+    const auto snapshot = decodeSnapshot(encodeSnapshot(directory, {}));
     REQUIRE(snapshot);
-    CHECK(snapshot->revision == 33);
+    CHECK(snapshot->version.revision == 33);
     REQUIRE(snapshot->changes.size() == 2);
     CHECK(std::get<RouteTableWritten>(snapshot->changes[0]).table == table);
     CHECK(std::get<HostWritten>(snapshot->changes[1]).entry == entry);
--- /dev/null
+++ b/test/unit/StoreEraTest.cpp
@@ -0,0 +1,176 @@
+// A store that comes back from an older copy: its era rises, revisions go back and are given out again. Guards against
+// balancers that refuse everything the store says afterwards, and against hosts that are used again after a drain or a
+// removal that the copy has forgotten (DRAIN).
+
+#include "app/DirectorySnapshot.h"
+#include "platform/StoreDocuments.h"
+#include "state/HostDirectory.h"
+#include "state/PeerBalancers.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <string>
+
+using namespace chicoryferry;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const HostDirectory::TimePoint start { std::chrono::hours(1) };
+
+HostWritten written(const std::string& id, std::uint64_t revision, bool draining = false)
+{
+    return { { id, "job", { static_cast<std::uint32_t>(id.front()), 8080 }, "zone", 2, draining, {}, 1 }, revision };
+}
+
+const KnownHost* find(const HostDirectory& directory, const std::string& id)
+{
+    const auto hosts = directory.hosts();
+    const auto found
+        = std::find_if(hosts.begin(), hosts.end(), [&](const KnownHost* host) { return host->entry.id == id; });
+    return found == hosts.end() ? nullptr : *found;
+}
+
+void list(HostDirectory& directory, const std::vector<DirectoryChange>& changes, std::uint64_t revision,
+    HostDirectory::TimePoint now)
+{
+    directory.beginListing();
+    for (const DirectoryChange& change : changes) {
+        directory.apply(change, now);
+    }
+    directory.endListing(revision, now);
+}
+
+}
+
+TEST_CASE("changes with lower revisions are followed after the store has come back from an older copy")
+{
+    HostDirectory directory;
+    list(directory, { written("a", 50), written("b", 60) }, 60, start);
+    directory.beginEra(1, start);
+    list(directory, { written("a", 40) }, 45, start);
+    CHECK(directory.version() == StoreVersion { 1, 45 });
+    REQUIRE(find(directory, "b")); // runs and writes its entry again
+    CHECK(directory.apply(written("a", 46, true), start) == HostDirectory::Effect::HostsChanged);
+    CHECK(find(directory, "a")->isDraining());
+    SUBCASE("the host that the copy lacks writes again")
+    {
+        directory.apply(written("b", 47), start + milliseconds(900));
+        directory.expire(start + seconds(3));
+        CHECK(find(directory, "b"));
+    }
+    SUBCASE("the host that the copy lacks does not write again")
+    {
+        CHECK(directory.expire(start + HostDirectory::missingHostTimeout));
+        CHECK_FALSE(find(directory, "b"));
+    }
+    SUBCASE("twice in a row")
+    {
+        directory.beginEra(2, start + milliseconds(100));
+        list(directory, { written("a", 30), written("b", 31) }, 35, start + milliseconds(100));
+        CHECK(directory.version() == StoreVersion { 2, 35 });
+        CHECK(find(directory, "b"));
+        CHECK(find(directory, "a")->isDraining());
+    }
+}
+
+TEST_CASE("a drain or a removal that the copy has forgotten stays in force until hosts have written again")
+{
+    HostDirectory directory;
+    list(directory, { written("a", 50), written("b", 51), written("c", 52, true) }, 60, start);
+    directory.apply(written("a", 61, true), start);
+    directory.apply(HostRemoved { "c", false, 62 }, start);
+    directory.apply(HostRemoved { "b", false, 63 }, start);
+    directory.expire(start + HostDirectory::missingHostTimeout);
+    REQUIRE(directory.hosts().size() == 1);
+    const auto back = start + seconds(4);
+    directory.beginEra(1, back);
+    list(directory, { written("a", 50), written("b", 51), written("c", 52, true) }, 55, back);
+    REQUIRE(find(directory, "a"));
+    CHECK(find(directory, "a")->isDraining());
+    CHECK_FALSE(find(directory, "b"));
+    CHECK_FALSE(find(directory, "c"));
+    SUBCASE("the drain is written again")
+    {
+        directory.apply(written("a", 56, true), back + milliseconds(500));
+        directory.expire(back + seconds(3));
+        CHECK(find(directory, "a")->isDraining());
+    }
+    SUBCASE("the host is ready after all")
+    {
+        directory.apply(written("a", 56), back + milliseconds(500));
+        CHECK_FALSE(find(directory, "a")->isDraining());
+    }
+    SUBCASE("nothing is written again")
+    {
+        CHECK_FALSE(directory.expire(back + milliseconds(2100)));
+        CHECK(directory.expire(back + HostDirectory::missingHostTimeout));
+        CHECK_FALSE(find(directory, "a")->isDraining());
+        CHECK(find(directory, "b"));
+    }
+}
+
+TEST_CASE("evacuations that the copy has forgotten, and those taken back, stay so for the retention")
+{
+    HostDirectory directory;
+    const auto evacuated = [&](const std::string& zone) { return directory.evacuatedZones().names().contains(zone); };
+    list(directory, { EvacuationChanged { "b", true, 5 } }, 60, start);
+    directory.apply(EvacuationChanged { "a", true, 61 }, start);
+    directory.apply(EvacuationChanged { "b", false, 62 }, start);
+    directory.beginEra(1, start);
+    list(directory, { EvacuationChanged { "b", true, 5 } }, 40, start);
+    CHECK(evacuated("a"));
+    CHECK_FALSE(evacuated("b"));
+    SUBCASE("written again")
+    {
+        directory.apply(EvacuationChanged { "a", true, 41 }, start + seconds(1));
+        directory.apply(EvacuationChanged { "b", false, 42 }, start + seconds(1));
+        CHECK_FALSE(directory.expire(start + EvacuatedZones::eraRetention));
+        CHECK(evacuated("a"));
+        CHECK_FALSE(evacuated("b"));
+    }
+    SUBCASE("not written again")
+    {
+        CHECK(directory.expire(start + EvacuatedZones::eraRetention));
+        CHECK_FALSE(evacuated("a"));
+        CHECK(evacuated("b"));
+    }
+}
+
+TEST_CASE("the configuration in force does not go back with the store")
+{
+    HostDirectory directory;
+    RouteTable table;
+    table.version = 7;
+    table.routes[{ 1, 443 }].target = std::string("job");
+    directory.apply(RouteTableWritten { table }, start);
+    directory.beginEra(1, start);
+    table.version = 6;
+    CHECK(directory.apply(RouteTableWritten { table }, start) == HostDirectory::Effect::RefusedOlder);
+    CHECK(directory.routes().version == 7);
+}
+
+TEST_CASE("a peer with a higher era is newer, whatever its revision, and its snapshot carries the era")
+{
+    PeerBalancers peers({ 1, 7720 });
+    peers.recordHello({ 2, 7720 }, { 1, { 1, 40 }, true }, start);
+    peers.recordHello({ 3, 7720 }, { 1, { 0, 90 }, true }, start);
+    CHECK(peers.newerPeer({ 0, 60 }, start) == Endpoint { 2, 7720 });
+    CHECK_FALSE(peers.newerPeer({ 1, 40 }, start));
+    HostDirectory directory;
+    directory.beginEra(3, start);
+    list(directory, { written("a", 40) }, 45, start);
+    const auto snapshot = decodeSnapshot(encodeSnapshot(directory, start));
+    REQUIRE(snapshot);
+    CHECK(snapshot->version == StoreVersion { 3, 45 });
+}
+
+TEST_CASE("the era is read from the headers of the store's answers")
+{
+    CHECK(platform::parseStoreEra("content-type: application/json\nstore-era: 12\nconnection: close") == 12);
+    CHECK(platform::parseStoreEra("store-era: 3") == 3);
+    CHECK(platform::parseStoreEra("x-store-era: 3\ncontent-length: 2") == 0);
+    CHECK(platform::parseStoreEra("store-era: none") == 0);
+    CHECK(platform::parseStoreEra("") == 0);
+}
--- a/test/unit/StoreOrderTest.cpp
+++ b/test/unit/StoreOrderTest.cpp
@@ -283,14 +283,14 @@
 
     void fetch(Balancer& balancer, const Balancer& peer)
     {
-        const auto snapshot = decodeSnapshot(encodeSnapshot(peer.directory, peer.directory.revision(), {}));
+        const auto snapshot = decodeSnapshot(encodeSnapshot(peer.directory, {}));
         REQUIRE(snapshot);
-        if (snapshot->revision <= balancer.directory.revision()) {
+        if (snapshot->version.revision <= balancer.directory.revision()) {
             return;
         }
         balancer.directory.beginListing();
         this->apply(balancer, snapshot->changes);
-        balancer.directory.endListing(snapshot->revision, this->now);
+        balancer.directory.endListing(snapshot->version.revision, this->now);
         if (balancer.listing) {
             balancer.listing = false;
             balancer.call.reset();
