Even load from old information: candidates are compared by reports interpreted by age

Cause: all balancers chose the agent that was least loaded in its last report, until its next one. Change: LoadInterpretation moves the cost and wait of a report towards the mean of the flow's eight candidates with the mean work time as time constant; distinctly slow backend servers cost their excess. No message is added; in small fleets, where each change is reported to every balancer, reports do not age.

--- a/src/app/AgentNode.cpp
+++ b/src/app/AgentNode.cpp
@@ -244,7 +244,8 @@
 
 void AgentNode::sendReport(const Endpoint& address, Balancer& balancer, TimePoint now)
 {
-    const AgentLoad load = this->admission.load(now);
+    AgentLoad load = this->admission.load(now);
+    load.reportsChanges = this->balancers.size() <= ReportRecipients::maximumRecipients;
     do {
         const auto count = std::min(balancer.verdicts.size(), SteeringMessages::maximumVerdicts);
         ReportMessage report { load, {}, {} };
--- a/src/app/SteeringMessages.cpp
+++ b/src/app/SteeringMessages.cpp
@@ -77,7 +77,7 @@
     ReportMessage message;
     message.load = { report.lifetime(), report.sequence(), report.service(), report.slots(), report.working(),
         report.opening(), report.held(), report.held_late(), report.demand_percent(), report.long_running(),
-        std::chrono::microseconds(report.mean_work_us()), report.leaving(),
+        std::chrono::microseconds(report.mean_work_us()), report.leaving(), report.reports_changes(),
         std::chrono::milliseconds(report.start_wait_ms()) };
     message.balancers.assign(report.balancers().begin(), report.balancers().end());
     for (const wire::FlowVerdict& item : report.verdicts()) {
@@ -137,6 +137,7 @@
     report.set_long_running(load.longRunning);
     report.set_mean_work_us(static_cast<std::uint32_t>(load.meanWork.count()));
     report.set_leaving(load.leaving);
+    report.set_reports_changes(load.reportsChanges);
     report.set_start_wait_ms(static_cast<std::uint32_t>(load.startWait.count()));
     report.mutable_balancers()->Add(message.balancers.begin(), message.balancers.end());
     for (const VerdictMessage& verdict : message.verdicts) {
--- a/src/coordination/AgentLoad.h
+++ b/src/coordination/AgentLoad.h
@@ -19,6 +19,7 @@
     std::uint32_t longRunning { 0 }; // requests in `working` that have run for far longer than the mean
     std::chrono::microseconds meanWork { 0 }; // mean time that a request occupies a slot; 0: unknown
     bool leaving { false };
+    bool reportsChanges { false }; // each change of the load is reported at once, so that the report does not age
     std::chrono::milliseconds startWait { 0 }; // until the backend server, which is cold, bears another first packet
 
     std::uint32_t occupied() const { return this->working + this->opening + this->held; }
--- a/src/coordination/FlowPlacement.cpp
+++ b/src/coordination/FlowPlacement.cpp
@@ -149,27 +149,41 @@
     return true;
 }
 
-double FlowPlacement::cost(const State& state, FlowUrgency urgency, TimePoint now, std::chrono::microseconds& wait)
+CandidateLoad FlowPlacement::describe(const State& state, FlowUrgency urgency, TimePoint now) const
 {
-    const bool known = state.reported && now - state.reportedAt < loadReportLifetime(this->states.size());
-    AgentLoad load = known ? state.load : AgentLoad {};
+    CandidateLoad candidate;
+    candidate.known = state.reported && now - state.reportedAt < loadReportLifetime(this->states.size());
+    if (!candidate.known) {
+        return candidate;
+    }
+    AgentLoad load = state.load;
     load.slots = std::max(1U, state.host().slots);
     load.startWait -= std::min(load.startWait, std::chrono::floor<milliseconds>(now - state.reportedAt));
-    wait = expectedWait(load, state.unanswered, urgency);
-    double total = inMilliseconds(wait) + occupancyCostMs * (load.occupied() + state.unanswered) / load.slots;
+    candidate.age = load.reportsChanges ? std::chrono::nanoseconds(0) : now - state.reportedAt;
+    candidate.meanWork = load.meanWork.count() > 0 ? load.meanWork : defaultMeanWork;
+    candidate.wait = expectedWait(load, state.unanswered, urgency);
+    candidate.costMs
+        = inMilliseconds(candidate.wait) + occupancyCostMs * (load.occupied() + state.unanswered) / load.slots;
+    return candidate;
+}
+
+double FlowPlacement::fixedCost(const State& state, TimePoint now)
+{
+    double total = std::uniform_real_distribution<double>(0, jitterCostMs)(this->random);
     if (state.coldRemaining(now).count() > 0) {
-        total += coldSlowdown * inMilliseconds(load.meanWork.count() > 0 ? load.meanWork : defaultMeanWork);
+        const auto work = state.load.meanWork.count() > 0 ? state.load.meanWork : defaultMeanWork;
+        total += coldSlowdown * inMilliseconds(work);
     }
     if (state.host().availabilityZone != this->availabilityZone) {
         total += otherZoneCostMs;
     }
-    if (!known) {
+    if (!state.reported || now - state.reportedAt >= loadReportLifetime(this->states.size())) {
         total += unknownCostMs;
     }
     if (state.silent) {
         total += silentCostMs;
     }
-    return total + std::uniform_real_distribution<double>(0, jitterCostMs)(this->random);
+    return total;
 }
 
 std::optional<PlacementChoice> FlowPlacement::choose(
@@ -187,20 +201,26 @@
         candidates = ranking->second.nearest(flow, this->availabilityZone, candidatesNearAndFar,
             [&](const Endpoint& agent) { return isCandidate(agent) && !isTried(agent); });
     }
+    std::vector<CandidateLoad> loads;
+    loads.reserve(candidates.size());
+    for (const Endpoint& address : candidates) {
+        loads.push_back(this->describe(this->states.at(address), urgency, now));
+    }
+    interpretLoads(loads);
     std::optional<PlacementChoice> best;
     double bestCost = 0;
-    for (const Endpoint& address : candidates) {
-        if (isTried(address)) {
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        if (isTried(candidates[index])) {
             continue;
         }
-        const State& state = this->states.at(address);
-        std::chrono::microseconds wait {};
-        const double agentCost = this->cost(state, urgency, now, wait);
-        if (!best || agentCost < bestCost) {
+        const State& state = this->states.at(candidates[index]);
+        const double cost = loads[index].costMs + this->fixedCost(state, now);
+        if (!best || cost < bestCost) {
             const auto age
                 = state.reported ? std::chrono::duration_cast<milliseconds>(now - state.reportedAt) : milliseconds(-1);
-            best = PlacementChoice { address, wait, age, state.host().slots, state.coldRemaining(now) };
-            bestCost = agentCost;
+            best = PlacementChoice { candidates[index], loads[index].wait, age, state.host().slots,
+                state.coldRemaining(now) };
+            bestCost = cost;
         }
     }
     return best;
--- a/src/coordination/FlowPlacement.h
+++ b/src/coordination/FlowPlacement.h
@@ -2,6 +2,7 @@
 
 #include "coordination/AgentLoad.h"
 #include "coordination/AgentRanking.h"
+#include "coordination/LoadInterpretation.h"
 #include "protocol/Endpoint.h"
 #include "protocol/HostEntry.h"
 #include "state/FlowKey.h"
@@ -32,9 +33,10 @@
 };
 
 // Chooses the agent for a new flow: of the flow's candidates, the one that is expected to have a free slot first,
-// according to the agents' load reports and the flows that this process has sent to them without a verdict so far. This
-// balances uneven load and avoids placing flows behind long requests. The candidates are the first agents of the
-// service in a ranking that depends on the flow only, so that another balancer knows where to look for it.
+// according to the agents' load reports, interpreted by their age, and the flows that this process has sent to them
+// without a verdict so far. This balances uneven load and avoids placing flows behind long requests. The candidates are
+// the first agents of the service in a ranking that depends on the flow only, so that another balancer knows where to
+// look for it.
 class FlowPlacement {
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
@@ -132,7 +134,9 @@
     static bool selectEntry(State&);
     void recordSelection(const Endpoint& agent, const State&);
     void indexServices();
-    double cost(const State&, FlowUrgency, TimePoint now, std::chrono::microseconds& wait);
+    CandidateLoad describe(const State&, FlowUrgency, TimePoint now) const;
+    // Cost that does not depend on the load.
+    double fixedCost(const State&, TimePoint now);
 
     std::string availabilityZone;
     std::map<Endpoint, State> states;
--- a/test/unit/FleetSimulation.cpp
+++ b/test/unit/FleetSimulation.cpp
@@ -379,7 +379,8 @@
 {
     Host& host = this->hosts[index];
     const Endpoint own { firstHostAddress + static_cast<std::uint32_t>(index), peerPort };
-    const AgentLoad load = host.admission->load(this->now);
+    AgentLoad load = host.admission->load(this->now);
+    load.reportsChanges = true;
     const std::uint64_t sentIn = this->epoch;
     for (std::size_t balancer = 0; balancer < this->balancers.size(); ++balancer) {
         const Endpoint address { firstBalancerAddress + static_cast<std::uint32_t>(balancer), peerPort };
--- a/test/unit/PeerBalancerDirectoryTest.cpp
+++ b/test/unit/PeerBalancerDirectoryTest.cpp
@@ -39,11 +39,11 @@
     peers.recordHello(balancer(2), { 1, { 0, 50 }, true }, start);
     peers.recordHello(balancer(3), { 1, { 0, 60 }, true }, start);
     peers.recordHello(balancer(3), { 1, { 0, 40 }, true }, start);
-    CHECK(peers.newerPeer(45, start) == balancer(3));
-    CHECK_FALSE(peers.newerPeer(60, start));
+    CHECK(peers.newerPeer({ 0, 45 }, start) == balancer(3));
+    CHECK_FALSE(peers.newerPeer({ 0, 60 }, start));
     peers.fetchFailed(balancer(3), start);
-    CHECK(peers.newerPeer(45, start) == balancer(2));
-    CHECK_FALSE(peers.newerPeer(45, start + seconds(2)));
+    CHECK(peers.newerPeer({ 0, 45 }, start) == balancer(2));
+    CHECK_FALSE(peers.newerPeer({ 0, 45 }, start + seconds(2)));
 }
 
 // Guards against a number of store calls that grows with the number of balancers, and against having no reader at all.
@@ -56,7 +56,7 @@
             PeerBalancers peers(balancer(self));
             for (std::uint32_t other = 0; other < count; ++other) {
                 const bool fails = std::find(failing.begin(), failing.end(), other) != failing.end();
-                peers.recordHello(balancer(other), { 1, 1, !fails }, start);
+                peers.recordHello(balancer(other), { 1, { 0, 1 }, !fails }, start);
             }
             if (peers.isReader(now)) {
                 readers.push_back(self);
