Review findings on flow location, evacuation, cold hosts and eras, and their tests

Two cases of NodeProcessesTest: an evacuated zone, a store that comes back from a copy; the stand-in of the store learns eras, 410 and removals.

--- a/src/app/AgentNode.cpp
+++ b/src/app/AgentNode.cpp
@@ -160,15 +160,17 @@
 
 void AgentNode::handleHello(const HelloMessage& hello, TimePoint now)
 {
-    // A balancer that is behind, for example partitioned from the store, must not return the zone to use.
-    if (hello.state.version < this->evacuationVersion) {
+    // A balancer that is behind, for example partitioned from the store, must not return the zone to use. Balancers
+    // with the same version can differ for some seconds after the store has come back from an older copy.
+    if (hello.state.version.revision == 0 || hello.state.version < this->evacuationVersion) {
         return;
     }
+    const bool isNewer = hello.state.version > this->evacuationVersion;
     this->evacuationVersion = hello.state.version;
     const bool isNamed
         = std::find(hello.evacuatedZones.begin(), hello.evacuatedZones.end(), this->settings.availabilityZone)
         != hello.evacuatedZones.end();
-    if (isNamed == this->evacuated) {
+    if (isNamed == this->evacuated || (!isNamed && !isNewer)) {
         return;
     }
     this->evacuated = isNamed;
@@ -176,6 +178,9 @@
         { { "zone", this->settings.availabilityZone },
             { "revision", static_cast<std::int64_t>(hello.state.version.revision) } });
     this->admission.setEvacuated(isNamed, this->actions);
+    for (auto& [address, balancer] : this->balancers) {
+        balancer.reportDue = true; // balancers that do not know yet learn that this agent takes no new flows
+    }
     this->perform(now);
 }
 
--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -170,7 +170,8 @@
     }
     this->logSelections();
     this->configurationVersion = this->directory.routes().version;
-    const bool usable = this->directory.hasRoutes() && !agents.empty();
+    // Before the first listing has ended, hosts and evacuated zones may be missing.
+    const bool usable = this->directory.hasRoutes() && this->directory.isListed() && !agents.empty();
     if (usable && !this->ready && !this->stopping) {
         this->ready = true;
         this->log.log(EventLog::Importance::Notable, "ready",
--- a/src/app/DirectorySnapshot.cpp
+++ b/src/app/DirectorySnapshot.cpp
@@ -104,7 +104,7 @@
         item.set_port(host->entry.address.port);
         item.set_availability_zone(host->entry.availabilityZone);
         item.set_slots(host->entry.slots);
-        item.set_draining(host->isDraining());
+        item.set_draining(host->entry.draining);
         item.set_started_at_ms(host->entry.startedAtMs);
         item.set_revision(host->revision);
         item.set_cold_remaining_ms(static_cast<std::uint32_t>(host->coldRemaining(now).count()));
--- a/src/app/StoreReader.cpp
+++ b/src/app/StoreReader.cpp
@@ -121,9 +121,12 @@
     if (snapshot->version <= this->directory.version()) {
         return; // this process's store calls have already reached this version
     }
-    if (snapshot->version.era > this->directory.version().era) {
+    if (snapshot->version.era > this->directory.storeEra()) {
         this->directory.beginEra(snapshot->version.era, now);
         this->logEra();
+        // A watch that waits began at a revision of the earlier era.
+        this->exchange.reset();
+        this->nextCall = now;
     }
     this->directory.beginListing();
     if (!snapshot->listsZones) {
@@ -139,12 +142,12 @@
         this->exchange.reset();
         this->nextCall = now;
     }
-    if (this->directory.endListing(snapshot->version.revision, now)) {
-        this->onChange();
-    }
     if (snapshot->incomplete) {
         this->directory.markIncomplete(now);
     }
+    if (this->directory.endListing(snapshot->version.revision, now)) {
+        this->onChange();
+    }
     this->log.log(EventLog::Importance::Notable, "peer_state_taken",
         { { "peer", formatEndpoint(this->fetchPeer) },
             { "revision", static_cast<std::int64_t>(snapshot->version.revision) },
@@ -201,18 +204,19 @@
 {
     this->metrics.events("store_era").Increment();
     this->log.log(EventLog::Importance::Notable, "store_era",
-        { { "era", static_cast<std::int64_t>(this->directory.version().era) },
+        { { "era", static_cast<std::int64_t>(this->directory.storeEra()) },
             { "configuration", static_cast<std::int64_t>(this->directory.routes().version) } });
 }
 
-bool StoreReader::acceptEra(std::uint64_t era, TimePoint now)
+bool StoreReader::acceptEra(std::optional<std::uint64_t> stated, TimePoint now)
 {
-    const StoreVersion known = this->directory.version();
+    const std::uint64_t known = this->directory.storeEra();
     const bool isFirstPage = this->listing && this->listAfter.empty();
     // A listing has to have all of its pages from one era; the first one begins it.
-    const std::uint64_t expected = this->listing && !isFirstPage ? this->listEra : known.era;
+    const std::uint64_t expected = this->listing && !isFirstPage ? this->listEra : known;
+    const std::uint64_t era = stated.value_or(expected);
     this->answerEra = era;
-    if (era == expected || (isFirstPage && era > known.era)) {
+    if (era == expected || (isFirstPage && era > known)) {
         return true;
     }
     if (era < expected) {
@@ -364,7 +368,7 @@
         // page, to receive all later changes.
         this->listRevision = answer.revision;
         this->listEra = this->answerEra;
-        if (this->answerEra > this->directory.version().era) {
+        if (this->answerEra > this->directory.storeEra()) {
             this->directory.beginEra(this->answerEra, now);
             this->logEra();
         }
--- a/src/app/StoreReader.h
+++ b/src/app/StoreReader.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -60,8 +61,8 @@
     void startCall(TimePoint now);
     void onResult(const HttpExchange::Result&);
     void onFetched(const HttpExchange::Result&);
-    // Handles the era that an answer states. Returns whether the answer can be used.
-    bool acceptEra(std::uint64_t era, TimePoint now);
+    // Handles the era that an answer states, if it states one. Returns whether the answer can be used.
+    bool acceptEra(std::optional<std::uint64_t> stated, TimePoint now);
     void startListing(TimePoint now);
     void applyListing(const platform::StoreAnswer&, TimePoint now);
     void applyEvents(const platform::StoreAnswer&, TimePoint now);
--- a/src/coordination/ColdStartLimiter.cpp
+++ b/src/coordination/ColdStartLimiter.cpp
@@ -7,11 +7,13 @@
 
 namespace {
 
-// The operators' limit holds for any second. A token bucket would allow twice as much in some.
-constexpr std::chrono::milliseconds window { 1000 };
+// The operators' limit holds for any second. A token bucket would allow twice as much in some. The margin covers a
+// first packet that is sent late after it was counted.
+constexpr std::chrono::milliseconds window { 1050 };
 
-// Bounds the memory; no limit in use is higher.
-constexpr std::size_t maximumStarts = 4096;
+// Limits outside of this range, in first packets a second, are taken for its ends. The upper one bounds the memory.
+constexpr double lowestLimit = 0.01;
+constexpr std::size_t highestLimit = 4096;
 
 }
 
@@ -25,6 +27,9 @@
     if (coldRemaining.count() <= 0) {
         return;
     }
+    if (startsPerSecond > 0) {
+        startsPerSecond = std::clamp(startsPerSecond, lowestLimit, static_cast<double>(highestLimit));
+    }
     this->limit = this->isLimited(now) && startsPerSecond > 0 ? std::min(this->limit, startsPerSecond)
         : this->isLimited(now)                                ? this->limit
                                                               : startsPerSecond;
@@ -33,13 +38,13 @@
 
 void ColdStartLimiter::record(TimePoint now)
 {
-    while (!this->starts.empty() && (now - this->starts.front() >= window || this->starts.size() >= maximumStarts)) {
+    while (!this->starts.empty() && (now - this->starts.front() >= window || this->starts.size() >= highestLimit)) {
         this->starts.pop_front();
     }
     this->starts.push_back(now);
 }
 
-std::chrono::milliseconds ColdStartLimiter::wait(TimePoint now) const
+std::chrono::milliseconds ColdStartLimiter::wait(TimePoint now, std::size_t ahead) const
 {
     if (!this->isLimited(now)) {
         return std::chrono::milliseconds(0);
@@ -50,8 +55,11 @@
         ? std::chrono::duration_cast<std::chrono::nanoseconds>(window)
         : std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>(1 / this->limit));
     TimePoint next = this->countingSince + span;
-    if (this->starts.size() >= allowed) {
-        next = std::max(next, this->starts[this->starts.size() - allowed] + span);
+    const std::size_t position = this->starts.size() + ahead; // of the first packet in question
+    if (position >= allowed && position - allowed < this->starts.size()) {
+        next = std::max(next, this->starts[position - allowed] + span);
+    } else if (position >= allowed) {
+        next = std::max(next, now) + span * static_cast<int>((position - this->starts.size()) / allowed);
     }
     next = std::min(next, this->coldUntil);
     return next <= now ? std::chrono::milliseconds(0) : std::chrono::ceil<std::chrono::milliseconds>(next - now);
--- a/src/coordination/ColdStartLimiter.h
+++ b/src/coordination/ColdStartLimiter.h
@@ -23,8 +23,8 @@
     // Records that a first packet is delivered.
     void record(TimePoint now);
 
-    // Time until another first packet may be delivered; 0: at once.
-    std::chrono::milliseconds wait(TimePoint now) const;
+    // Time until another first packet may be delivered after `ahead` others; 0: at once.
+    std::chrono::milliseconds wait(TimePoint now, std::size_t ahead) const;
 
 private:
     bool isLimited(TimePoint now) const { return this->limit > 0 && now < this->coldUntil; }
--- a/src/coordination/FlowPlacement.cpp
+++ b/src/coordination/FlowPlacement.cpp
@@ -248,6 +248,18 @@
     return found == this->states.end() ? 0 : serviceHash(found->second.host().service);
 }
 
+std::string_view FlowPlacement::serviceNameOf(const Endpoint& agent) const
+{
+    const auto found = this->states.find(agent);
+    return found == this->states.end() ? std::string_view() : std::string_view(found->second.host().service);
+}
+
+milliseconds FlowPlacement::coldRemaining(const Endpoint& agent, TimePoint now) const
+{
+    const auto found = this->states.find(agent);
+    return found == this->states.end() ? milliseconds(0) : found->second.coldRemaining(now);
+}
+
 void FlowPlacement::recordFlowSent(const Endpoint& agent)
 {
     const auto found = this->states.find(agent);
@@ -288,9 +300,19 @@
 std::vector<Endpoint> FlowPlacement::likelyOwners(std::string_view service, const FlowKey& flow) const
 {
     const auto found = this->byService.find(service);
-    return found == this->byService.end() ? std::vector<Endpoint>()
-                                          : found->second.nearest(flow, this->availabilityZone, likelyOwnersNearAndFar,
-                                              [](const Endpoint&) { return true; });
+    if (found == this->byService.end()) {
+        return {};
+    }
+    auto owners = found->second.nearest(flow, this->availabilityZone, candidatesNearAndFar,
+        [this](const Endpoint& agent) { return this->isUsable(this->states.at(agent)); });
+    const auto undisturbed = found->second.nearest(
+        flow, this->availabilityZone, likelyOwnersNearAndFar, [](const Endpoint&) { return true; });
+    for (const Endpoint& agent : undisturbed) {
+        if (std::find(owners.begin(), owners.end(), agent) == owners.end()) {
+            owners.push_back(agent);
+        }
+    }
+    return owners;
 }
 
 std::vector<Endpoint> FlowPlacement::likelyOwnersOfEachZone(std::string_view service, const FlowKey& flow) const
--- a/src/coordination/FlowPlacement.h
+++ b/src/coordination/FlowPlacement.h
@@ -78,7 +78,8 @@
     std::optional<PlacementChoice> choose(
         std::string_view service, const FlowKey&, FlowUrgency, std::span<const Endpoint> tried, TimePoint now);
 
-    // Agents at which a balancer of this availability zone has probably placed the flow, including draining ones.
+    // Agents at which a balancer of this availability zone would place the flow now, and those at which it would if
+    // none were draining or evacuated.
     std::vector<Endpoint> likelyOwners(std::string_view service, const FlowKey&) const;
 
     // Agents at which any balancer has probably placed the flow.
@@ -90,6 +91,12 @@
     // serviceHash() of the service that the agent's backend server serves; 0 if the agent is unknown.
     std::uint64_t serviceOf(const Endpoint& agent) const;
 
+    // Name of that service, empty if the agent is unknown.
+    std::string_view serviceNameOf(const Endpoint& agent) const;
+
+    // How much longer the agent's backend server is cold.
+    std::chrono::milliseconds coldRemaining(const Endpoint& agent, TimePoint now) const;
+
     // Records that a flow was sent to the agent.
     void recordFlowSent(const Endpoint& agent);
 
--- a/src/coordination/FlowSteering.cpp
+++ b/src/coordination/FlowSteering.cpp
@@ -153,10 +153,10 @@
     return std::string(*selected);
 }
 
-double FlowSteering::coldStartsPerSecond(std::string_view service) const
+double FlowSteering::coldStartsPerSecond(const Endpoint& agent) const
 {
     const auto& services = this->directory.routes().services;
-    const auto limits = services.find(service);
+    const auto limits = services.find(this->placement.serviceNameOf(agent));
     return limits == services.end() ? 0 : limits->second.coldStartsPerSecond;
 }
 
@@ -205,7 +205,7 @@
     this->placement.recordFlowSent(choice->agent);
     actions.emplace_back(SteerPacket { choice->agent, SteeringPurpose::NewFlow, serviceHash(*service), limit,
         route->priority, urgency, choice->slots, choice->expectedWait, choice->loadAge, opening.datagram,
-        choice->coldRemaining, this->coldStartsPerSecond(*service) });
+        choice->coldRemaining, this->coldStartsPerSecond(choice->agent) });
     return true;
 }
 
@@ -223,7 +223,8 @@
         const auto limit = waitLimit(*route, FlowUrgency::Late, opening.transmissions.age(now));
         actions.emplace_back(SteerPacket { opening.offers.back().agent, SteeringPurpose::NewFlow,
             opening.offers.back().service, std::max(std::chrono::milliseconds(0), limit), route->priority,
-            FlowUrgency::Late, 0, {}, {}, datagram });
+            FlowUrgency::Late, 0, {}, {}, datagram, this->placement.coldRemaining(opening.offers.back().agent, now),
+            this->coldStartsPerSecond(opening.offers.back().agent) });
     }
 }
 
@@ -261,7 +262,9 @@
                 : std::max(std::chrono::milliseconds(0),
                     waitLimit(*route, FlowUrgency::Late, FirstPacketTransmissions::ageOf(packet.acknowledgement)));
             actions.emplace_back(SteerPacket { flow->second.owners.front(), SteeringPurpose::NewFlow,
-                flow->second.service, limit, 0, FlowUrgency::Late, 0, {}, {}, datagram });
+                flow->second.service, limit, 0, FlowUrgency::Late, 0, {}, {}, datagram,
+                this->placement.coldRemaining(flow->second.owners.front(), now),
+                this->coldStartsPerSecond(flow->second.owners.front()) });
             return;
         }
         if (flow->second.opened && !flow->second.closing) {
@@ -271,6 +274,7 @@
             this->reopen(flow, packet, datagram, now, actions);
             return;
         }
+        this->searches.finish(key);
         this->flows.erase(flow); // the caller uses the port of a flow that has ended for a new one
     }
     const auto opening = this->openings.find(key);
@@ -317,6 +321,7 @@
     const bool owned = found != this->flows.end() && !found->second.owners.empty();
     if (route == nullptr && this->directory.isRemovedRoute(key.service)) {
         actions.emplace_back(SendReset { key, packet.acknowledgement, "route_removed" });
+        this->searches.finish(key);
         this->flows.erase(key);
         return;
     }
@@ -338,7 +343,7 @@
             FlowUrgency::InTime, 0, {}, {}, datagram });
     } else if (route != nullptr) {
         this->searches.search(key, packet.acknowledges ? std::optional(packet.acknowledgement) : std::nullopt,
-            flow.candidates, datagram, now, actions);
+            flow.candidates, { datagram, !packet.payload.empty() }, now, actions);
     }
 }
 
@@ -424,7 +429,10 @@
         }
         return;
     }
-    this->searches.handleAnswer(agent, key, verdict, now, actions);
+    // A late refusal of an offer does not say that the backend server does not hold the flow.
+    if (verdict == FlowVerdict::NotFound || verdict == FlowVerdict::MayHold || verdict == FlowVerdict::Lost) {
+        this->searches.handleAnswer(agent, key, verdict, now, actions);
+    }
     const auto found = this->flows.find(key);
     if (found == this->flows.end() || std::erase(found->second.owners, agent) == 0 || !found->second.owners.empty()) {
         return;
--- a/src/coordination/FlowSteering.h
+++ b/src/coordination/FlowSteering.h
@@ -103,7 +103,7 @@
     // Selects the service for a new flow; nothing if the route sends new flows to no service.
     std::optional<std::string> selectService(
         const FlowRoute&, const FlowKey&, const Opening&, std::vector<SteeringAction>& actions) const;
-    double coldStartsPerSecond(std::string_view service) const;
+    double coldStartsPerSecond(const Endpoint& agent) const;
     // Returns whether to keep the opening.
     bool place(const FlowKey&, Opening&, TimePoint now, std::vector<SteeringAction>& actions);
     // Starts another round of offers. Returns whether to keep the opening.
--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -128,9 +128,9 @@
     const double slotSeconds = this->decayedDemand(now) / seconds(demandWindow) * seconds(mean);
     load.demandPercent
         = static_cast<std::uint32_t>(std::clamp(slotSeconds / this->slots * hundredPercent, 0.0, maxDemandPercent));
-    load.startWait = this->coldStarts.wait(now);
+    load.startWait = this->coldStarts.wait(now, this->held.size());
     load.longRunning = this->flows.workingLongerThan(mean * longRequestFactor, now);
-    load.leaving = this->leaving || this->isBackendServerSilent(now);
+    load.leaving = this->leaving || this->isBackendServerSilent(now) || this->evacuated;
     return load;
 }
 
@@ -152,19 +152,24 @@
         this->slots = offer.slots;
     }
     this->coldStarts.update(offer.coldRemaining, offer.coldStartsPerSecond, now);
-    if (HostFlow* flow = this->flows.find(key)) {
+    HostFlow* flow = this->flows.find(key);
+    if (flow != nullptr && flow->phase == HostFlowPhase::Closed) {
+        this->flows.erase(key); // the caller uses the port of a flow that has ended for a new one
+        flow = nullptr;
+    }
+    if (flow != nullptr) {
         if (flow->phase == HostFlowPhase::Idle || flow->phase == HostFlowPhase::Working) {
             // A late copy. The backend server would return it, as if it did not hold the flow.
             actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::Owned, {}, {} });
             return;
         }
         // The caller retransmits its first packet: deliver it so that the backend server answers again.
-        if (flow->phase == HostFlowPhase::Stalled) {
-            this->flows.setPhase(*flow, HostFlowPhase::Opening, now);
-        }
         flow->balancer = offer.balancer;
         flow->lastPacket = now;
-        if (this->coldStarts.wait(now).count() == 0) {
+        if (this->coldStarts.wait(now, 0).count() == 0) {
+            if (flow->phase == HostFlowPhase::Stalled) {
+                this->flows.setPhase(*flow, HostFlowPhase::Opening, now);
+            }
             this->coldStarts.record(now);
             actions.emplace_back(DeliverToBackendServer { datagram });
         }
@@ -251,9 +256,13 @@
     auto verdict = FlowVerdict::NotFound;
     if (HostFlow* flow = this->flows.find(query.flow)) {
         if (isOpenElsewhere(*flow, query.acknowledgement)) {
+            // A backend server that has not answered since this agent's start may have answered before.
+            if (!flow->hostAnswered && this->mayHaveBeenAnsweredBeforeStart(now)) {
+                verdict = FlowVerdict::MayHold;
+            }
             this->abandonOpening(query.flow, *flow, now);
             this->deliverHeld(now, actions);
-        } else {
+        } else if (flow->phase != HostFlowPhase::Closed) {
             verdict = FlowVerdict::Owned;
             flow->balancer = balancer;
         }
@@ -437,7 +446,7 @@
 
 void HostAdmission::deliverHeld(TimePoint now, std::vector<AgentAction>& actions)
 {
-    while (!this->held.empty() && this->coldStarts.wait(now).count() == 0
+    while (!this->held.empty() && this->coldStarts.wait(now, 0).count() == 0
         && this->flows.opening() + this->flows.working()
             < this->deliveryLimit(this->held.begin()->second.offer.urgency)) {
         HeldFlow& next = this->delivered.emplace_back(std::move(this->held.begin()->second));
--- a/src/coordination/OwnerSearch.cpp
+++ b/src/coordination/OwnerSearch.cpp
@@ -76,6 +76,23 @@
     return agents;
 }
 
+std::vector<Endpoint> OwnerSearch::onTrial() const
+{
+    std::vector<Endpoint> agents;
+    for (const Asked& item : this->asked) {
+        if (item.answer == Answer::OnTrial) {
+            agents.push_back(item.agent);
+        }
+    }
+    return agents;
+}
+
+bool OwnerSearch::hasUncertain() const
+{
+    return std::any_of(
+        this->asked.begin(), this->asked.end(), [](const Asked& item) { return item.answer == Answer::Uncertain; });
+}
+
 void OwnerSearch::recordAbsence(const Endpoint& agent)
 {
     if (Asked* item = this->find(agent)) {
--- a/src/coordination/OwnerSearch.h
+++ b/src/coordination/OwnerSearch.h
@@ -41,6 +41,12 @@
     // until the deadline.
     std::vector<Endpoint> startTrials(std::size_t count, TimePoint deadline);
 
+    // Agents whose answer to a packet on trial is outstanding.
+    std::vector<Endpoint> onTrial() const;
+
+    // Whether agents may hold the flow that have not got a packet on trial.
+    bool hasUncertain() const;
+
     // The agent does not hold the flow.
     void recordAbsence(const Endpoint& agent);
 
--- a/src/coordination/OwnerSearches.cpp
+++ b/src/coordination/OwnerSearches.cpp
@@ -5,6 +5,7 @@
 #include "state/HostDirectory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chicoryferry {
 
@@ -13,7 +14,7 @@
 using std::chrono::milliseconds;
 
 // An agent answers within a round trip of at most 4 ms plus its scheduling delay and the queue of a slow link. Three
-// stages, in each of which agents are asked twice, end before the caller repeats its packet after 200 ms.
+// stages in which agents are asked twice end before the caller repeats its packet after 200 ms.
 constexpr milliseconds answerTimeout { 30 };
 
 // A backend server returns a packet of a flow that it does not hold within a millisecond.
@@ -57,11 +58,16 @@
 {
 }
 
-bool OwnerSearches::keep(Search& search, std::span<const std::uint8_t> datagram)
+bool OwnerSearches::keep(Search& search, const Packet& packet)
 {
+    const auto& datagram = packet.datagram;
     if (search.waiting.size() >= maximumWaitingPackets || this->waitingBytes + datagram.size() > maximumWaitingBytes) {
         return false; // the caller repeats the packet
     }
+    if (packet.carriesData && !search.hasData) {
+        search.hasData = true;
+        search.trialPacket = search.waiting.size();
+    }
     search.waiting.emplace_back(datagram.begin(), datagram.end());
     this->waitingBytes += datagram.size();
     return true;
@@ -93,13 +99,17 @@
 }
 
 void OwnerSearches::search(const FlowKey& key, std::optional<std::uint32_t> acknowledgement,
-    std::span<const Endpoint> offered, std::span<const std::uint8_t> datagram, TimePoint now,
-    std::vector<SteeringAction>& actions)
+    std::span<const Endpoint> offered, const Packet& packet, TimePoint now, std::vector<SteeringAction>& actions)
 {
     const auto [search, added] = this->searches.try_emplace(key);
-    this->keep(search->second, datagram);
+    const bool hadData = search->second.hasData;
+    const bool kept = this->keep(search->second, packet);
     search->second.acknowledgement = acknowledgement;
     if (!added) {
+        // A backend server need not answer a packet without data that is delivered on trial.
+        if (kept && packet.carriesData && !hadData) {
+            this->sendOnTrial(search->second.waiting.back(), search->second.agents.onTrial(), actions);
+        }
         return;
     }
     search->second.agents.enter(OwnerSearch::Stage::Offered, now);
@@ -144,25 +154,41 @@
     if (search.waiting.empty()) {
         return false;
     }
+    // Likely owners are few; the others are as many as the fleet has agents.
+    if (search.agents.stage() == OwnerSearch::Stage::All && search.agents.hasUncertain()
+        && !this->budget.takeBytes(
+            static_cast<double>(trialsAtOnce * search.waiting[search.trialPacket].size()), now)) {
+        return false;
+    }
     const auto agents = search.agents.startTrials(trialsAtOnce, now + trialTimeout);
     if (agents.empty()) {
         return false;
     }
     search.agents.extendSingleTrial(now + singleTrialTimeout);
-    const auto& packet = this->deliveredOnTrial.emplace_back(search.waiting.front());
+    this->sendOnTrial(search.waiting[search.trialPacket], agents, actions);
+    this->reschedule(key, search);
+    return true;
+}
+
+void OwnerSearches::sendOnTrial(
+    const std::vector<std::uint8_t>& packet, const std::vector<Endpoint>& agents, std::vector<SteeringAction>& actions)
+{
+    if (agents.empty()) {
+        return;
+    }
+    const auto& copy = this->deliveredOnTrial.emplace_back(packet);
     for (const Endpoint& agent : agents) {
         actions.emplace_back(SteerPacket { agent, SteeringPurpose::Recover, this->placement.serviceOf(agent), {}, 0,
-            FlowUrgency::InTime, 0, {}, {}, packet });
+            FlowUrgency::InTime, 0, {}, {}, copy });
     }
-    this->reschedule(key, search);
-    return true;
 }
 
 void OwnerSearches::giveUp(Searches::iterator search, std::string_view reason, std::vector<SteeringAction>& actions)
 {
     const FlowKey key = search->first;
     // The flow may be at a host that this process has not read yet.
-    if (this->directory.isComplete() && search->second.agents.isAbsentFrom(this->placement.agents())) {
+    const auto agents = this->placement.agents();
+    if (this->directory.isComplete() && !agents.empty() && search->second.agents.isAbsentFrom(agents)) {
         // Without the reset, the caller would wait for an answer until its deadline.
         actions.emplace_back(SendReset { key, search->second.acknowledgement.value_or(0), "not_found" });
     } else {
@@ -185,7 +211,8 @@
             return;
         }
         if (state.agents.stage() == OwnerSearch::Stage::All) {
-            this->giveUp(search, "agents_unanswered", actions);
+            this->giveUp(
+                search, state.agents.hasUncertain() ? "search_budget_exhausted" : "agents_unanswered", actions);
             return;
         }
         const auto stage = nextStage(state.agents.stage());
--- a/src/coordination/OwnerSearches.h
+++ b/src/coordination/OwnerSearches.h
@@ -22,8 +22,9 @@
 class HostDirectory;
 
 // Finds the owners of open flows that this balancer does not know. Asks agents in stages with small messages, most
-// likely owners first, while the packets of the flow wait here. The messages for a flow do not grow with the fleet, but
-// for flows that no agent holds. Answers the load of balancers that stop, start or are lost with many open flows.
+// likely owners first, while the packets of the flow wait here. The messages for a flow do not grow with the fleet,
+// except for flows that no agent holds. Answers the load of balancers that stop, start or are lost with many open
+// flows.
 class OwnerSearches {
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
@@ -31,10 +32,16 @@
     // linkBytesPerSecond: capacity of the balancer's link. The references must outlive this object.
     OwnerSearches(const HostDirectory&, const FlowPlacement&, double linkBytesPerSecond);
 
+    // A packet of a caller.
+    struct Packet {
+        std::span<const std::uint8_t> datagram;
+        bool carriesData { false };
+    };
+
     // Keeps the packet until the owner is known, and starts a search unless one is in progress. offered: agents to
     // which this balancer has offered the flow. acknowledgement: of the packet, if it acknowledges one.
     void search(const FlowKey&, std::optional<std::uint32_t> acknowledgement, std::span<const Endpoint> offered,
-        std::span<const std::uint8_t> datagram, TimePoint now, std::vector<SteeringAction>& actions);
+        const Packet&, TimePoint now, std::vector<SteeringAction>& actions);
 
     // Handles an agent's answer other than that it owns the flow.
     void handleAnswer(
@@ -56,12 +63,16 @@
         OwnerSearch agents;
         std::optional<std::uint32_t> acknowledgement;
         std::vector<std::vector<std::uint8_t>> waiting;
+        std::size_t trialPacket { 0 }; // index of the first waiting packet with data, otherwise 0
+        bool hasData { false };
         TimePoint due; // key of the flow in `schedule`
     };
 
     using Searches = std::unordered_map<FlowKey, Search, FlowKeyHash>;
 
-    bool keep(Search&, std::span<const std::uint8_t> datagram);
+    bool keep(Search&, const Packet&);
+    void sendOnTrial(const std::vector<std::uint8_t>& packet, const std::vector<Endpoint>& agents,
+        std::vector<SteeringAction>& actions);
     void ask(const FlowKey&, Search&, std::vector<Endpoint> agents, std::vector<SteeringAction>& actions);
     // Goes on while the present step of the search is complete.
     void advance(Searches::iterator, TimePoint now, std::vector<SteeringAction>& actions);
--- a/src/coordination/SearchBudget.cpp
+++ b/src/coordination/SearchBudget.cpp
@@ -15,7 +15,6 @@
 // The budget of this time can be used at once. Callers repeat a packet after 200 ms.
 constexpr double burstSeconds = 0.2;
 
-// A search at all agents is allowed even if its cost exceeds the burst, once the budget is full.
 double burst(double rate) { return rate * burstSeconds; }
 
 }
@@ -26,19 +25,22 @@
 {
 }
 
-void SearchBudget::setLink(double bytesPerSecond) { this->rate = bytesPerSecond * linkShare; }
-
 bool SearchBudget::take(std::size_t agents, TimePoint now)
+{
+    return this->takeBytes(static_cast<double>(agents) * bytesPerAgent, now);
+}
+
+bool SearchBudget::takeBytes(double bytes, TimePoint now)
 {
     const double limit = burst(this->rate);
     const double elapsed = std::chrono::duration<double>(now - this->updatedAt).count();
     this->available = std::min(limit, this->available + elapsed * this->rate);
     this->updatedAt = now;
-    const double cost = static_cast<double>(agents) * bytesPerAgent;
-    if (this->available < std::min(cost, limit)) {
+    // A search whose cost exceeds the burst is allowed once the budget is full.
+    if (this->available < std::min(bytes, limit)) {
         return false;
     }
-    this->available -= cost;
+    this->available -= bytes;
     return true;
 }
 
--- a/src/state/EvacuatedZones.cpp
+++ b/src/state/EvacuatedZones.cpp
@@ -34,7 +34,7 @@
     this->listed.insert(availabilityZone);
     const auto found = this->zones.find(availabilityZone);
     if (found != this->zones.end() && this->eraSince && found->second.retained) {
-        found->second.retained = true;
+        found->second.retained = true; // may be a request that had been taken back after the copy
         return Effect::None;
     }
     return this->change(availabilityZone, true, revision);
--- a/src/state/EvacuatedZones.h
+++ b/src/state/EvacuatedZones.h
@@ -46,8 +46,8 @@
     // With each evacuated zone, the revision of its request.
     std::map<std::string, std::uint64_t> requests() const;
 
-    // Longer than the delay of a writer that repeats its requests every few seconds.
-    static constexpr std::chrono::seconds eraRetention { 10 };
+    // Operators write their requests again at once. A request that is in the copy only is in force within 5 s.
+    static constexpr std::chrono::seconds eraRetention { 3 };
 
 private:
     struct Zone {
--- a/src/state/HostDirectory.cpp
+++ b/src/state/HostDirectory.cpp
@@ -33,13 +33,21 @@
         return Effect::None; // a peer's copy of the entry may have fewer fields
     }
     const bool retained = this->retain(host, entry.id, !added && host.isDraining(), now);
-    const bool changed = added || host.entry != entry || host.missingSince || retained;
+    // A host that was missing before the store came back may have gone; the copy does not know it.
+    const bool returns = host.missingSince && !this->isCopied(now);
+    const bool entryChanged = added || host.entry != entry;
+    const bool changed = entryChanged || returns || retained;
     host.revision = written.revision;
-    host.missingSince.reset();
-    if (changed) {
+    if (returns) {
+        host.missingSince.reset();
+    }
+    if (entryChanged) {
         host.entry = entry;
         host.learnedAt = now;
     }
+    if (!this->isCopied(now)) {
+        this->goneHosts.erase(entry.id);
+    }
     return changed ? Effect::HostsChanged : Effect::None;
 }
 
@@ -50,7 +58,7 @@
         host.retainedUntil.reset();
         return wasRetained;
     }
-    if (wasDraining || this->goneHosts.contains(id)) {
+    if (wasDraining || host.isGone() || this->goneHosts.contains(id)) {
         host.retainedUntil = *this->eraSince + missingHostTimeout;
         host.retainedDraining = wasDraining;
     }
@@ -210,7 +218,7 @@
     // While the entry of a known host is missing, those of running hosts that this process has not read may be, too.
     return this->complete && !this->incompleteSince
         && std::none_of(this->known.begin(), this->known.end(),
-            [](const auto& item) { return item.second.missingSince.has_value(); });
+            [](const auto& item) { return item.second.missingSince.has_value() || item.second.isGone(); });
 }
 
 bool HostDirectory::hasColdHost(TimePoint now) const
@@ -231,6 +239,7 @@
         KnownHost& host = item->second;
         if (host.retainedUntil && now >= *host.retainedUntil) {
             host.retainedUntil.reset();
+            this->goneHosts.erase(item->first);
             changed = true;
         }
         if (!host.missingSince || now - *host.missingSince < missingHostTimeout) {
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -22,7 +22,7 @@
 struct KnownHost {
     HostEntry entry;
     std::uint64_t revision { 0 }; // store revision of the last change of the entry, which may be its removal
-    std::chrono::steady_clock::time_point learnedAt; // when the entry last changed or reappeared
+    std::chrono::steady_clock::time_point learnedAt; // when the entry last changed
     std::optional<std::chrono::steady_clock::time_point> missingSince; // set while the store has no usable entry
 
     // While set: what an earlier era of the store said of the host, draining or gone, holds in place of the entry.
@@ -56,7 +56,16 @@
 
     // Store revision up to which all changes are known; 0 before the first listing of the era.
     std::uint64_t revision() const { return this->knownRevision; }
-    StoreVersion version() const { return { this->era, this->knownRevision }; }
+
+    // Era of the store that is being read.
+    std::uint64_t storeEra() const { return this->era; }
+
+    // The last version of the store that is known completely. While the first listing of an era is in progress, it is
+    // that of the era before, so that peers do not take a part for the whole.
+    const StoreVersion& version() const { return this->completeVersion; }
+
+    // Whether the store has been listed once, so that hosts and evacuated zones are known.
+    bool isListed() const { return this->completeVersion.revision > 0; }
 
     // The store has come back from an older copy. Everything known stays in force until the listing that has to follow
     // has ended. What the copy has forgotten is written again by running hosts and by the operator: a host that the
@@ -65,7 +74,11 @@
     void beginEra(std::uint64_t era, TimePoint now);
 
     // Records that all changes up to the revision have been applied.
-    void advanceTo(std::uint64_t revision) { this->knownRevision = std::max(this->knownRevision, revision); }
+    void advanceTo(std::uint64_t revision)
+    {
+        this->knownRevision = std::max(this->knownRevision, revision);
+        this->completeVersion = { this->era, this->knownRevision };
+    }
 
     // Delimit a full listing of the store or of a peer's directory, which has all changes up to `revision`: hosts
     // without a HostWritten between the two calls count as missing, unless they have changed later. A missing host
@@ -122,7 +135,7 @@
     Effect applyRemoval(const HostRemoved&, TimePoint now);
     // Returns whether the host is retained as draining or gone, as in the era before.
     bool retain(KnownHost&, const std::string& id, bool wasDraining, TimePoint now) const;
-    // Whether what is being applied comes from an older copy of the store, not from a write of the present era.
+    // Whether what is being applied may come from an older copy of the store and not from a write of the present era.
     bool isCopied(TimePoint now) const
     {
         return this->isListing && this->eraSince && now - *this->eraSince < missingHostTimeout;
@@ -139,6 +152,7 @@
     std::map<std::string, KnownHost> known;
     EvacuatedZones evacuations;
     std::uint64_t era { 0 };
+    StoreVersion completeVersion;
     std::uint64_t knownRevision { 0 };
     std::optional<TimePoint> eraSince; // last change of the era
     std::map<std::string, TimePoint> goneHosts; // hosts whose removal a copy of the store may have forgotten
--- a/test/integration/NodeProcessesTest.cpp
+++ b/test/integration/NodeProcessesTest.cpp
@@ -451,3 +451,42 @@
     }
     CHECK(fleet.balancerLogs("service_skipped", "selected", "drawing"));
 }
+
+TEST_CASE("an evacuated zone gets no new flow until the request is taken back [EVAC]")
+{
+    SmallFleet fleet;
+    fleet.store.write("op/evacuate/a", "{}");
+    CHECK(fleet.balancerLogs("zones_evacuated", "zones", "a"));
+    CHECK(fleet.agent->waitForEvent("evacuated").value("zone", "") == "a");
+    CHECK(isReset(fleet.answerToFirstPacket(fleet.service)));
+    CHECK(SmallFleet::receive(fleet.hostSocket, milliseconds(100)).empty());
+    // A balancer that starts during the evacuation places no flow before it has read the request.
+    fleet.startBalancer();
+    CHECK(isReset(fleet.answerToFirstPacket(fleet.service)));
+    CHECK(SmallFleet::receive(fleet.hostSocket, milliseconds(100)).empty());
+    fleet.store.remove("op/evacuate/a");
+    CHECK(fleet.balancerLogs("zones_evacuated", "zones", ""));
+    fleet.agent->waitForEvent("evacuation_ended");
+    usleep(300000); // the agent's report says that it takes flows again
+    fleet.checkServed(1);
+}
+
+TEST_CASE("a store that comes back from an older copy is followed, and the configuration stays [CONFIG, DRAIN]")
+{
+    SmallFleet fleet;
+    fleet.store.keepCopy();
+    fleet.writeConfiguration(4, 2, R"("service":"job")");
+    CHECK(fleet.balancerLogs("configuration_in_force", "configuration", 4));
+    fleet.store.restoreCopy();
+    CHECK(fleet.balancerLogs("store_era", "era", 1));
+    fleet.checkServed(2);
+    // The revision is given out again.
+    fleet.writeConfiguration(5, 3, R"("service":"job")");
+    CHECK(fleet.balancerLogs("configuration_in_force", "configuration", 5));
+    fleet.checkServed(3);
+    fleet.store.restoreCopy();
+    CHECK(fleet.balancerLogs("store_era", "era", 2));
+    fleet.store.write("servers/i-1", fleet.hostValue("draining", 0));
+    CHECK(fleet.balancerLogs("host_changed", "state", "draining"));
+    CHECK(isReset(fleet.answerToFirstPacket({ parseAddress("198.18.0.3"), 443 })));
+}
--- a/test/integration/StoreStandin.cpp
+++ b/test/integration/StoreStandin.cpp
@@ -34,11 +34,12 @@
     return std::strtoull(queryText(request, name).c_str(), nullptr, 10);
 }
 
-int answer(mg_connection* connection, int status, const std::string& body)
+int answer(mg_connection* connection, int status, std::uint64_t era, const std::string& body)
 {
     mg_printf(connection,
-        "HTTP/1.1 %d Status\r\nContent-Type: application/json\r\nContent-Length: %zu\r\nConnection: close\r\n\r\n",
-        status, body.size());
+        "HTTP/1.1 %d Status\r\nContent-Type: application/json\r\nStore-Era: %llu\r\nContent-Length: %zu\r\n"
+        "Connection: close\r\n\r\n",
+        status, static_cast<unsigned long long>(era), body.size());
     mg_write(connection, body.data(), body.size());
     return status;
 }
@@ -78,14 +79,38 @@
         const std::lock_guard lock(this->mutex);
         const json item { { "key", key }, { "value", encoded }, { "revision", this->revision + 1 },
             { "created-rev", this->revision + 1 }, { "lease", 0 } };
-        this->items[key] = { ++this->revision, item.dump() };
+        this->items[key] = { ++this->revision, item.dump(), false };
         this->changed.notify_all();
     }
 
     void writeItem(const std::string& key, const std::string& text)
     {
         const std::lock_guard lock(this->mutex);
-        this->items[key] = { ++this->revision, text };
+        this->items[key] = { ++this->revision, text, false };
+        this->changed.notify_all();
+    }
+
+    void remove(const std::string& key)
+    {
+        const std::lock_guard lock(this->mutex);
+        const json item { { "key", key }, { "revision", this->revision + 1 }, { "tombstone", true } };
+        this->items[key] = { ++this->revision, item.dump(), true };
+        this->changed.notify_all();
+    }
+
+    void keepCopy()
+    {
+        const std::lock_guard lock(this->mutex);
+        this->copiedItems = this->items;
+        this->copiedRevision = this->revision;
+    }
+
+    void restoreCopy()
+    {
+        const std::lock_guard lock(this->mutex);
+        this->items = this->copiedItems;
+        this->revision = this->copiedRevision;
+        ++this->era;
         this->changed.notify_all();
     }
 
@@ -109,14 +134,16 @@
         auto& self = *static_cast<Implementation*>(data);
         const std::lock_guard lock(self.mutex);
         if (self.down) {
-            return answer(connection, 503, "{}");
+            return answer(connection, 503, self.era, "{}");
         }
         std::string list = "[";
         auto item = self.items.upper_bound(queryText(*mg_get_request_info(connection), "after"));
         for (; item != self.items.end() && list.size() < pageBytes; ++item) {
-            list += (list.size() > 1 ? "," : "") + item->second.text;
+            if (!item->second.removed) {
+                list += (list.size() > 1 ? "," : "") + item->second.text;
+            }
         }
-        return answer(connection, 200,
+        return answer(connection, 200, self.era,
             R"({"items":)" + list + R"(],"truncated":)" + (item == self.items.end() ? "false" : "true")
                 + R"(,"store-revision":)" + std::to_string(self.revision) + "}");
     }
@@ -128,19 +155,23 @@
         const std::uint64_t after = queryNumber(request, "after");
         const std::chrono::milliseconds wait(queryNumber(request, "wait-ms"));
         std::unique_lock lock(self.mutex);
-        self.changed.wait_for(lock, wait, [&] { return self.down || self.revision > after; });
+        self.changed.wait_for(lock, wait, [&] { return self.down || self.revision != after; });
         if (self.down) {
-            return answer(connection, 503, "{}");
+            return answer(connection, 503, self.era, "{}");
+        }
+        if (self.revision < after) {
+            return answer(connection, 410, self.era, "{}");
         }
         const std::string body
             = R"({"events":)" + self.itemsAfter(after) + R"(,"store-revision":)" + std::to_string(self.revision) + "}";
         self.changed.wait(lock, [&] { return self.down || !self.holdingWatches; });
-        return answer(connection, 200, body);
+        return answer(connection, 200, self.era, body);
     }
 
     struct Item {
         std::uint64_t revision { 0 };
         std::string text;
+        bool removed { false };
     };
 
     // Returns the text of a JSON array.
@@ -159,6 +190,9 @@
     std::condition_variable changed;
     std::map<std::string, Item> items;
     std::uint64_t revision { 0 };
+    std::uint64_t era { 0 };
+    std::map<std::string, Item> copiedItems;
+    std::uint64_t copiedRevision { 0 };
     bool down { false };
     bool holdingWatches { false };
     mg_context* server { nullptr };
@@ -180,6 +214,12 @@
     this->implementation->writeItem(key, text);
 }
 
+void StoreStandin::remove(const std::string& key) { this->implementation->remove(key); }
+
+void StoreStandin::keepCopy() { this->implementation->keepCopy(); }
+
+void StoreStandin::restoreCopy() { this->implementation->restoreCopy(); }
+
 void StoreStandin::setDown(bool down) { this->implementation->setDown(down); }
 
 }
--- a/test/integration/StoreStandin.h
+++ b/test/integration/StoreStandin.h
@@ -22,6 +22,13 @@
     // Answers with the text in place of the item of the key; the text need not be valid JSON.
     void writeItem(const std::string& key, const std::string& text);
 
+    void remove(const std::string& key);
+
+    // Keeps a copy of the present state, to which restoreCopy() returns: later changes are forgotten, revisions are
+    // given out again, and all answers state an era that is higher by one. Waiting watches get 410.
+    void keepCopy();
+    void restoreCopy();
+
     // While down, every call, including pending watches, is answered with 503.
     void setDown(bool);
 
--- a/test/unit/EvacuationTest.cpp
+++ b/test/unit/EvacuationTest.cpp
@@ -106,6 +106,7 @@
     REQUIRE(admission.currentLoad(start).held == 1);
     actions.clear();
     admission.setEvacuated(true, actions);
+    CHECK(admission.currentLoad(start).leaving); // for balancers that have not heard of the evacuation
     REQUIRE(actions.size() == 1);
     CHECK(std::get<SendVerdict>(actions.front()).verdict == FlowVerdict::RefusedEvacuated);
     CHECK(std::get<SendVerdict>(actions.front()).flow.caller.port == 3);
@@ -151,10 +152,12 @@
     }
     SUBCASE("a peer's snapshot has them")
     {
+        directory.advanceTo(9);
         const auto snapshot = decodeSnapshot(encodeSnapshot(directory, start));
         REQUIRE(snapshot);
         CHECK(snapshot->listsZones);
         HostDirectory taken;
+        taken.apply(change("c", true, 3), start);
         taken.beginListing();
         for (const DirectoryChange& item : snapshot->changes) {
             taken.apply(item, start);
--- a/test/unit/FlowSteeringSearchTest.cpp
+++ b/test/unit/FlowSteeringSearchTest.cpp
@@ -254,6 +254,13 @@
         balancer.receiveVerdict(agentOf(3), FlowVerdict::NotFound, milliseconds(4));
         CHECK(balancer.resets());
     }
+    SUBCASE("a late refusal of the last agent says nothing about an open flow")
+    {
+        balancer.receiveVerdict(agentOf(3), FlowVerdict::RefusedByBackendServer, milliseconds(3));
+        balancer.receiveVerdict(agentOf(3), FlowVerdict::RefusedFull, milliseconds(3));
+        balancer.receiveVerdict(agentOf(3), FlowVerdict::WrongService, milliseconds(3));
+        CHECK_FALSE(balancer.resets());
+    }
     SUBCASE("a host joins before the last agent answers")
     {
         setAgents(balancer, 4, 1);
--- a/test/unit/HostDirectoryTest.cpp
+++ b/test/unit/HostDirectoryTest.cpp
@@ -136,7 +136,7 @@
     HostDirectory directory;
     directory.apply(routes(1, "job"), start);
     CHECK_FALSE(directory.isRemovedRoute({ 1, 443 }));
-    directory.apply(RouteTableWritten { { 2, {}, milliseconds(15000) } }, start);
+    directory.apply(RouteTableWritten { { 2, {}, {}, milliseconds(15000) } }, start);
     CHECK(directory.isRemovedRoute({ 1, 443 }));
     SUBCASE("the route is added again")
     {
--- a/test/unit/PeerBalancerDirectoryTest.cpp
+++ b/test/unit/PeerBalancerDirectoryTest.cpp
@@ -78,10 +78,12 @@
     RouteTable table;
     table.version = 9;
     table.routes[{ 1, 443 }] = { "job", true, milliseconds(100), milliseconds(1000), 2 };
+    table.services["job"] = { 2.5 };
     directory.apply(RouteTableWritten { table }, start);
-    const HostEntry entry { "i-1", "job", { 5, 8080 }, "zone", 3, true, {}, 77 };
+    const HostEntry entry { "i-1", "job", { 5, 8080 }, "zone", 3, true, milliseconds(700), 77 };
     directory.apply(HostWritten { entry }, start);
-    const auto snapshot = decodeSnapshot(encodeSnapshot(directory, {}));
+    directory.advanceTo(33);
+    const auto snapshot = decodeSnapshot(encodeSnapshot(directory, start));
     REQUIRE(snapshot);
     CHECK(snapshot->version.revision == 33);
     REQUIRE(snapshot->changes.size() == 2);
--- a/test/unit/StoreEraTest.cpp
+++ b/test/unit/StoreEraTest.cpp
@@ -170,7 +170,39 @@
 {
     CHECK(platform::parseStoreEra("content-type: application/json\nstore-era: 12\nconnection: close") == 12);
     CHECK(platform::parseStoreEra("store-era: 3") == 3);
-    CHECK(platform::parseStoreEra("x-store-era: 3\ncontent-length: 2") == 0);
-    CHECK(platform::parseStoreEra("store-era: none") == 0);
-    CHECK(platform::parseStoreEra("") == 0);
+    CHECK_FALSE(platform::parseStoreEra("x-store-era: 3\ncontent-length: 2"));
+    CHECK_FALSE(platform::parseStoreEra("store-era: none"));
+    CHECK_FALSE(platform::parseStoreEra(""));
+}
+
+// Guards against a part of the store that peers take for the whole.
+TEST_CASE("the version is that of the era before until the first listing of an era has ended")
+{
+    HostDirectory directory;
+    list(directory, { written("a", 50) }, 60, start);
+    directory.beginEra(1, start);
+    directory.beginListing();
+    directory.apply(written("a", 40), start);
+    CHECK(directory.version() == StoreVersion { 0, 60 });
+    directory.endListing(45, start);
+    CHECK(directory.version() == StoreVersion { 1, 45 });
+}
+
+// Guards against running hosts that vanish because their entries had lapsed at some time before the store came back.
+TEST_CASE("a host that has returned is not taken for gone when the store comes back from a copy")
+{
+    HostDirectory directory;
+    list(directory, { written("a", 50), written("b", 51) }, 60, start);
+    directory.apply(HostRemoved { "a", false, 61 }, start);
+    directory.expire(start + seconds(3));
+    REQUIRE_FALSE(find(directory, "a"));
+    directory.apply(written("a", 62), start + seconds(4));
+    directory.apply(HostRemoved { "b", false, 63 }, start + seconds(5)); // missing for less than missingHostTimeout
+    const auto back = start + seconds(6);
+    directory.beginEra(1, back);
+    list(directory, { written("a", 50), written("b", 51) }, 55, back);
+    CHECK(find(directory, "a"));
+    REQUIRE(find(directory, "b"));
+    CHECK(directory.expire(start + seconds(5) + HostDirectory::missingHostTimeout));
+    CHECK_FALSE(find(directory, "b"));
 }
