Agents that started with their backend server hold no unknown flow; ready after a listing

Change: offers and trials carry the start time of the backend server; an agent whose backend server started later than itself, or less than 0.5 s before, answers not_found.

--- a/src/app/StoreReader.cpp
+++ b/src/app/StoreReader.cpp
@@ -145,9 +145,7 @@
     if (snapshot->incomplete) {
         this->directory.markIncomplete(now);
     }
-    if (this->directory.endListing(snapshot->version.revision, now)) {
-        this->onChange();
-    }
+    this->endListing(snapshot->version.revision, now);
     this->log.log(EventLog::Importance::Notable, "peer_state_taken",
         { { "peer", formatEndpoint(this->fetchPeer) },
             { "revision", static_cast<std::int64_t>(snapshot->version.revision) },
@@ -361,6 +359,15 @@
     }
 }
 
+void StoreReader::endListing(std::uint64_t revision, TimePoint now)
+{
+    const bool wasListed = this->directory.isListed();
+    const bool changed = this->directory.endListing(revision, now);
+    if (changed || !wasListed) {
+        this->onChange();
+    }
+}
+
 void StoreReader::applyListing(const platform::StoreAnswer& answer, TimePoint now)
 {
     if (this->listAfter.empty()) {
@@ -384,15 +391,14 @@
     if (answer.incomplete) {
         this->directory.abandonListing();
         this->directory.advanceTo(this->listRevision);
+        this->onChange();
         // No host is missing from a listing whose further pages cannot be requested.
         this->metrics.refusals("read store", "listing_incomplete").Increment();
         this->log.log(EventLog::Importance::Notable, "listing_incomplete",
             { { "revision", static_cast<std::int64_t>(this->directory.revision()) } });
         return;
     }
-    if (this->directory.endListing(this->listRevision, now)) {
-        this->onChange();
-    }
+    this->endListing(this->listRevision, now);
 }
 
 void StoreReader::applyEvents(const platform::StoreAnswer& answer, TimePoint now)
--- a/src/app/StoreReader.h
+++ b/src/app/StoreReader.h
@@ -64,6 +64,7 @@
     // Handles the era that an answer states, if it states one. Returns whether the answer can be used.
     bool acceptEra(std::optional<std::uint64_t> stated, TimePoint now);
     void startListing(TimePoint now);
+    void endListing(std::uint64_t revision, TimePoint now);
     void applyListing(const platform::StoreAnswer&, TimePoint now);
     void applyEvents(const platform::StoreAnswer&, TimePoint now);
     void apply(const std::vector<DirectoryChange>&, std::uint64_t revision, TimePoint now);
--- a/src/coordination/OwnerSearches.cpp
+++ b/src/coordination/OwnerSearches.cpp
@@ -31,7 +31,7 @@
 constexpr std::size_t maximumWaitingPackets = 20;
 
 // Bounds the memory used for waiting packets: below a hundredth of that of the smallest machine (64 MB).
-constexpr std::size_t maximumWaitingBytes = 512 * 1024;
+constexpr std::size_t maximumWaitingBytes = 524'288;
 
 OwnerSearch::Stage nextStage(OwnerSearch::Stage stage)
 {
@@ -179,7 +179,7 @@
     const auto& copy = this->deliveredOnTrial.emplace_back(packet);
     for (const Endpoint& agent : agents) {
         actions.emplace_back(SteerPacket { agent, SteeringPurpose::Recover, this->placement.serviceOf(agent), {}, 0,
-            FlowUrgency::InTime, 0, {}, {}, copy });
+            FlowUrgency::InTime, 0, {}, {}, copy, {}, 0, this->placement.hostStartedAtMs(agent) });
     }
 }
 
--- a/test/unit/HostAdmissionTest.cpp
+++ b/test/unit/HostAdmissionTest.cpp
@@ -198,6 +198,20 @@
         agent.query();
         CHECK(agent.verdicts() == std::vector { FlowVerdict::NotFound });
     }
+    SUBCASE("an agent that has started with its backend server, as after a loss of power")
+    {
+        Agent restarted(seconds(1));
+        restarted.admission.recordBackendServerStart(start - milliseconds(1300));
+        restarted.query();
+        CHECK(restarted.verdicts() == std::vector { FlowVerdict::NotFound });
+    }
+    SUBCASE("an agent that has restarted beside a running backend server")
+    {
+        Agent restarted(seconds(1));
+        restarted.admission.recordBackendServerStart(start - milliseconds(1600));
+        restarted.query();
+        CHECK(restarted.verdicts() == std::vector { FlowVerdict::MayHold });
+    }
     SUBCASE("an agent that has just started")
     {
         Agent restarted(seconds(1));
