A service whose agents report their evacuation counts as evacuated; a balancer reads to the end

Found when reading the diff: agents of an evacuated zone report themselves as leaving, so that a flow of a service without any other waited 150 ms instead of being refused at once; and a balancer with routes but without a complete listing could stop reading the store.

--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -125,7 +125,7 @@
 
 void BalancerNode::synchronizeWithPeers(TimePoint now)
 {
-    this->reader.setReading(this->peers.isReader(now) || !this->directory.hasRoutes());
+    this->reader.setReading(this->peers.isReader(now) || !this->directory.hasRoutes() || !this->directory.isListed());
     if (this->reader.isFetching()) {
         return;
     }
--- a/src/coordination/FlowPlacement.cpp
+++ b/src/coordination/FlowPlacement.cpp
@@ -238,8 +238,11 @@
 {
     const auto agents = this->byService.find(service);
     return agents != this->byService.end() && !this->hasUsableAgent(service)
-        && std::any_of(agents->second.agents().begin(), agents->second.agents().end(),
-            [this](const Endpoint& address) { return !isLeaving(this->states.at(address)); });
+        && std::any_of(agents->second.agents().begin(), agents->second.agents().end(), [this](const Endpoint& address) {
+               // An agent of an evacuated zone reports itself as leaving.
+               const State& state = this->states.at(address);
+               return !state.draining && this->evacuatedZones.contains(state.host().availabilityZone);
+           });
 }
 
 std::uint64_t FlowPlacement::serviceOf(const Endpoint& agent) const
--- a/test/unit/EvacuationTest.cpp
+++ b/test/unit/EvacuationTest.cpp
@@ -78,6 +78,13 @@
     SteeringFixture balancer { 0 };
     setZones(balancer, 9);
     balancer.placement.setEvacuatedZones({ "zone-0", "zone-1", "zone-2", "unknown" });
+    AgentLoad evacuated;
+    evacuated.incarnation = 1;
+    evacuated.sequence = 1;
+    evacuated.leaving = true;
+    for (std::uint32_t number = 1; number <= 9; ++number) {
+        balancer.placement.report({ number, 7000 }, evacuated, balancer.start);
+    }
     balancer.sendFirst();
     CHECK(balancer.asked().empty());
     CHECK(balancer.resets());
