--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -133,7 +133,8 @@
 private:
     Effect applyHost(const HostWritten&, TimePoint now);
     Effect applyRemoval(const HostRemoved&, TimePoint now);
-    // Returns whether the host is retained as draining or gone, as in the era before.
+    // Begins or ends the retention of what an earlier era said of a host whose entry is read. Returns whether it has
+    // begun or ended.
     bool retain(KnownHost&, const std::string& id, bool wasDraining, TimePoint now) const;
     // Whether what is being applied may come from an older copy of the store and not from a write of the present era.
     bool isCopied(TimePoint now) const
@@ -154,7 +155,7 @@
     std::uint64_t era { 0 };
     StoreVersion completeVersion;
     std::uint64_t knownRevision { 0 };
-    std::optional<TimePoint> eraSince; // last change of the era
+    std::optional<TimePoint> eraSince; // when the present era was seen first; unset in the first one
     std::map<std::string, TimePoint> goneHosts; // hosts whose removal a copy of the store may have forgotten
     bool isListing { false };
     std::set<std::string> listed;
