--- /dev/null
+++ b/review/standins-2/Main.cpp
@@ -0,0 +1,335 @@
+#include "Caller.h"
+#include "Deployment.h"
+#include "Host.h"
+
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace review {
+
+namespace {
+
+constexpr int heldStatus = 0;
+constexpr int brokenStatus = 1;
+constexpr int notRunStatus = 2;
+
+const std::string service = "job-desk";
+
+std::int64_t unixMilliseconds()
+{
+    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+// A host with its agent.
+std::unique_ptr<Host> addHost(
+    Deployment& deployment, Loop& loop, Record& record, int number, const std::string& id, milliseconds work)
+{
+    return std::make_unique<Host>(loop, record, id, Address { deployment.machine(number), Deployment::applicationPort },
+        Address { deployment.machine(number), Deployment::outboundPort }, work);
+}
+
+bool allReady(const Deployment& deployment, int balancers)
+{
+    for (int number = 1; number <= balancers; ++number) {
+        if (!deployment.isReady(number)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+int notRun(Record& record, const std::string& reason)
+{
+    record.line("not run: " + reason);
+    std::cerr << "not run: " << reason << "\n";
+    return notRunStatus;
+}
+
+int verdict(Record& record, const std::string& rule, std::size_t violations, const std::string& summary)
+{
+    record.line(summary);
+    record.line(rule + (violations > 0 ? " broken " + std::to_string(violations) + " times" : " held"));
+    std::cout << summary << "\n" << rule << (violations > 0 ? " broken" : " held") << "\n";
+    return violations > 0 ? brokenStatus : heldStatus;
+}
+
+// Callers keep flows open for two requests with a pause of three seconds between them. With the trouble they also pause
+// between the handshake and the first request.
+int runQuietFlows(Record& record, bool trouble)
+{
+    constexpr int balancers = 2;
+    constexpr int firstHost = 11;
+    constexpr milliseconds pause { 3000 };
+    Loop loop;
+    Deployment deployment(loop, record);
+    const auto born = unixMilliseconds();
+    std::vector<std::unique_ptr<Host>> hosts;
+    deployment.writeConfiguration(3, 1200);
+    for (int index = 0; index < 2; ++index) {
+        hosts.push_back(
+            addHost(deployment, loop, record, firstHost + index, "i-" + std::to_string(index + 1), milliseconds(17)));
+        deployment.addAgent(firstHost + index, service);
+        deployment.writeHost(*hosts.back(), firstHost + index, service, "ready", born);
+    }
+    for (int number = 1; number <= balancers; ++number) {
+        deployment.addBalancer(number);
+    }
+    loop.runFor(milliseconds(5000)); // beyond contact-ms
+    if (!allReady(deployment, balancers)) {
+        return notRun(record, "a balancer is not ready");
+    }
+    Caller caller(loop, record, { deployment.machine(100), Deployment::packetPort }, Deployment::route,
+        [&](const FlowEnds& ends) {
+            return Address { deployment.machine(1 + ends.caller.port % balancers), Deployment::packetPort };
+        });
+    std::size_t broken = 0;
+    caller.onReset([&](const Call& call) {
+        for (const auto& host : hosts) {
+            if (host->holdsOpen(call.ends)) {
+                ++broken;
+                record.line("FLOW: the flow of " + call.id + " is open at host " + host->name() + ", which lives");
+            }
+        }
+    });
+    constexpr int calls = 20;
+    for (int index = 0; index < calls; ++index) {
+        Call call;
+        call.id = "correction-" + std::to_string(index + 1);
+        call.pauses = { trouble ? pause : milliseconds(0), pause };
+        caller.start(call);
+        loop.runFor(milliseconds(100));
+    }
+    loop.runFor(milliseconds(9000));
+    std::size_t opened = 0;
+    std::size_t answered = 0;
+    std::size_t reset = 0;
+    for (const auto& call : caller.calls()) {
+        opened += call->opened ? 1 : 0;
+        answered += call->answered;
+        reset += call->resetBySystem ? 1 : 0;
+    }
+    if (opened < calls / 2) {
+        return notRun(record, "only " + std::to_string(opened) + " flows opened");
+    }
+    return verdict(record, "FLOW", broken,
+        std::to_string(calls) + " flows, " + std::to_string(opened) + " opened, " + std::to_string(answered)
+            + " requests answered, " + std::to_string(reset) + " flows reset by the system");
+}
+
+// Three balancers of nine, those that read the store, are partitioned from it; right after that a host starts to drain.
+// The other six have a path to the store all the while.
+int runCutReaders(Record& record, bool trouble)
+{
+    constexpr int balancers = 9;
+    constexpr int firstHost = 11;
+    constexpr int hostCount = 3;
+    constexpr milliseconds drainBound { 3000 };
+    constexpr milliseconds drainingHostExit { 3300 }; // drain-ms and a little longer
+    Loop loop;
+    Deployment deployment(loop, record);
+    const auto born = unixMilliseconds();
+    std::vector<std::unique_ptr<Host>> hosts;
+    deployment.writeConfiguration(3, 1200);
+    for (int index = 0; index < hostCount; ++index) {
+        hosts.push_back(
+            addHost(deployment, loop, record, firstHost + index, "i-" + std::to_string(index + 1), milliseconds(60)));
+        deployment.addAgent(firstHost + index, service);
+        deployment.writeHost(*hosts.back(), firstHost + index, service, "ready", born);
+    }
+    for (int number = 1; number <= balancers; ++number) {
+        deployment.addBalancer(number);
+    }
+    loop.runFor(milliseconds(7000)); // beyond contact-ms, and until only the readers have a watch at the store
+    if (!allReady(deployment, balancers)) {
+        return notRun(record, "a balancer is not ready");
+    }
+    std::vector<Address> inTouch; // balancers that are not cut
+    Caller caller(loop, record, { deployment.machine(100), Deployment::packetPort }, Deployment::route,
+        [&](const FlowEnds& ends) { return inTouch[ends.caller.port % inTouch.size()]; });
+    Store& store = deployment.platformStore();
+    deployment.writeConfiguration(5, 1300);
+    std::set<Address> readers;
+    loop.runFor(milliseconds(250));
+    readers = store.watching();
+    if (readers.size() >= balancers) {
+        return notRun(record, "all balancers read the store");
+    }
+    for (int number = 1; number <= balancers; ++number) {
+        if (!readers.contains(deployment.gateway(number))) {
+            inTouch.push_back({ deployment.machine(number), Deployment::packetPort });
+        }
+    }
+    for (const Address& reader : readers) {
+        record.line("a balancer that reads the store: " + text(reader.ip));
+        if (trouble) {
+            store.setCut(reader, true);
+            record.line("partition from the store begins at " + text(reader.ip));
+        }
+    }
+    loop.runFor(milliseconds(20));
+    Host& leaving = *hosts.front();
+    deployment.writeHost(leaving, firstHost, service, "draining", born);
+    const auto acknowledgedAt = record.now();
+    std::size_t late = 0;
+    std::set<std::string> begun; // requests at the draining host after the bound
+    leaving.onOpeningPacket([&](const FlowEnds& ends) {
+        const auto age = record.now() - acknowledgedAt;
+        if (age > drainBound) {
+            ++late;
+            record.line("DRAIN: opening packet of " + text(ends) + " reaches host " + leaving.name() + " "
+                + std::to_string(age.count()) + " ms after the store acknowledged that it is draining");
+        }
+    });
+    leaving.onRun([&](const FlowEnds&, const std::string& request) {
+        if (record.now() - acknowledgedAt > drainBound) {
+            begun.insert(request);
+        }
+    });
+    loop.after(drainingHostExit, [&] {
+        leaving.exit();
+        deployment.platformStore().remove("servers/" + leaving.name());
+        record.line("host " + leaving.name() + " exits");
+    });
+    constexpr int calls = 250;
+    for (int index = 0; index < calls; ++index) {
+        Call call;
+        call.id = "correction-" + std::to_string(index + 1);
+        caller.start(call);
+        loop.runFor(milliseconds(20));
+    }
+    loop.runFor(milliseconds(2000));
+    std::size_t opened = 0;
+    std::size_t answered = 0;
+    std::size_t lost = 0;
+    for (const auto& call : caller.calls()) {
+        opened += call->opened ? 1 : 0;
+        answered += call->answered;
+        if (call->answered == 0 && begun.contains(call->id + ".1")) {
+            ++lost;
+            record.line("request " + call->id + ".1 was begun by the draining host and never answered");
+        }
+    }
+    if (opened < calls / 2) {
+        return notRun(record, "only " + std::to_string(opened) + " flows opened");
+    }
+    return verdict(record, "DRAIN", late,
+        std::to_string(calls) + " flows through " + std::to_string(inTouch.size()) + " balancers in touch, "
+            + std::to_string(opened) + " opened, " + std::to_string(answered) + " requests answered, "
+            + std::to_string(begun.size()) + " requests begun at the draining host after the bound, "
+            + std::to_string(lost) + " of them never answered");
+}
+
+// A host is added with its agent. Callers keep flows open at it; the agent's process is killed and restarted within
+// half a second of the host's start. The callers' second requests follow seconds later.
+int runEarlyRestart(Record& record, bool trouble)
+{
+    constexpr int balancers = 2;
+    constexpr int firstHost = 11;
+    constexpr int newHost = 13;
+    constexpr milliseconds killAfter { 200 };
+    constexpr milliseconds restartDelay { 100 };
+    constexpr milliseconds secondRequestAfter { 6000 };
+    constexpr milliseconds contactTime { 4000 };
+    Loop loop;
+    Deployment deployment(loop, record);
+    std::vector<std::unique_ptr<Host>> hosts;
+    deployment.writeConfiguration(3, 1200);
+    for (int index = 0; index < 2; ++index) {
+        hosts.push_back(
+            addHost(deployment, loop, record, firstHost + index, "i-" + std::to_string(index + 1), milliseconds(17)));
+        deployment.addAgent(firstHost + index, service);
+        deployment.writeHost(*hosts.back(), firstHost + index, service, "ready", unixMilliseconds());
+    }
+    for (int number = 1; number <= balancers; ++number) {
+        deployment.addBalancer(number);
+    }
+    loop.runFor(milliseconds(5000));
+    if (!allReady(deployment, balancers)) {
+        return notRun(record, "a balancer is not ready");
+    }
+    Caller caller(loop, record, { deployment.machine(100), Deployment::packetPort }, Deployment::route,
+        [&](const FlowEnds& ends) {
+            return Address { deployment.machine(1 + ends.caller.port % balancers), Deployment::packetPort };
+        });
+    std::size_t broken = 0;
+    milliseconds inTouchSince { 0 };
+    caller.onReset([&](const Call& call) {
+        for (const auto& host : hosts) {
+            if (host->holdsOpen(call.ends) && record.now() >= inTouchSince) {
+                ++broken;
+                record.line("FLOW: the flow of " + call.id + " is open at host " + host->name() + ", which lives");
+            }
+        }
+    });
+    deployment.addAgent(newHost, service, false);
+    loop.runFor(milliseconds(100));
+    const auto born = unixMilliseconds();
+    hosts.push_back(addHost(deployment, loop, record, newHost, "i-3", milliseconds(17)));
+    deployment.writeHost(*hosts.back(), newHost, service, "ready", born);
+    if (trouble) {
+        inTouchSince = record.now() + milliseconds(60000); // until the restart
+        loop.after(killAfter, [&] { deployment.killProcess(newHost); });
+        loop.after(killAfter + restartDelay, [&] {
+            deployment.addAgent(newHost, service, false);
+            inTouchSince = record.now() + contactTime;
+        });
+    }
+    constexpr int calls = 120;
+    for (int index = 0; index < calls; ++index) {
+        Call call;
+        call.id = "correction-" + std::to_string(index + 1);
+        call.pauses = { milliseconds(0), secondRequestAfter };
+        caller.start(call);
+        loop.runFor(milliseconds(10));
+    }
+    loop.runFor(milliseconds(9000));
+    std::size_t opened = 0;
+    std::size_t answered = 0;
+    std::size_t reset = 0;
+    for (const auto& call : caller.calls()) {
+        opened += call->opened ? 1 : 0;
+        answered += call->answered;
+        reset += call->resetBySystem ? 1 : 0;
+    }
+    if (opened < calls / 2) {
+        return notRun(record, "only " + std::to_string(opened) + " flows opened");
+    }
+    return verdict(record, "FLOW", broken,
+        std::to_string(calls) + " flows, " + std::to_string(opened) + " opened, " + std::to_string(answered)
+            + " requests answered, " + std::to_string(reset) + " flows reset by the system");
+}
+
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    using namespace review;
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    if (arguments.size() != 2) {
+        std::cerr << "usage: review_standins CASE RECORD\n";
+        return notRunStatus;
+    }
+    const char* variable = std::getenv("TROUBLE");
+    const bool trouble = variable == nullptr || std::string(variable) != "0";
+    Record record(arguments[1]);
+    try {
+        if (arguments[0] == "quiet-flows") {
+            return runQuietFlows(record, trouble);
+        }
+        if (arguments[0] == "cut-readers") {
+            return runCutReaders(record, trouble);
+        }
+        if (arguments[0] == "early-restart") {
+            return runEarlyRestart(record, trouble);
+        }
+        return notRun(record, "unknown case " + arguments[0]);
+    } catch (const std::exception& error) {
+        return notRun(record, error.what());
+    }
+}
