--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -7,7 +7,7 @@
 TMPDIR=$(mktemp -d) || exit 2
 export TMPDIR
 trap 'rm -rf "$TMPDIR"' EXIT
-timeout -s KILL 110 "$program" early-restart review/7/record.txt
+timeout -s KILL 110 "$program" older-copy review/7/record.txt
 status=$?
 [ "$status" -le 2 ] || exit 2
 exit "$status"
--- a/review/standins-2/Deployment.cpp
+++ b/review/standins-2/Deployment.cpp
@@ -17,6 +17,18 @@
 
 namespace {
 
+std::string withGrownBounds(std::string settings)
+{
+    for (const auto& [from, to] : { std::pair("contact-ms=4000", "contact-ms=5000"),
+             std::pair("ack-ms=5000", "ack-ms=8000"), std::pair("catch-up-s=4", "catch-up-s=6"),
+             std::pair("drain-ms=3000", "drain-ms=5000"), std::pair("config-apply-ms=3000", "config-apply-ms=5000"),
+             std::pair("skew-max-ms=12000", "skew-max-ms=15000"), std::pair("recovery-s=12", "recovery-s=15"),
+             std::pair("reads-per-s=2000", "reads-per-s=6000") }) {
+        settings.replace(settings.find(from), std::string(from).size(), to);
+    }
+    return settings;
+}
+
 // The words of `run` of a role in the deploy file.
 std::vector<std::string> commandOf(const std::string& role)
 {
@@ -47,10 +59,11 @@
 
 const Address Deployment::route { 0xC6120001U, 8443 }; // 198.18.0.1, only inside packets
 
-Deployment::Deployment(Loop& eventLoop, Record& runRecord)
+Deployment::Deployment(Loop& eventLoop, Record& runRecord, bool isGrown)
     : loop(eventLoop)
     , record(runRecord)
     , store(eventLoop)
+    , grown(isGrown)
     // A /24 within 127.128.0.0/10 of this process.
     , network(0x7F800000U + ((static_cast<std::uint32_t>(getpid()) & 0x3FFFU) << 8U))
 {
@@ -75,7 +88,7 @@
 void Deployment::startProcess(int number, const std::string& role, const std::string& settings)
 {
     const std::string path = this->folder / ("node-" + std::to_string(number) + ".conf");
-    std::ofstream(path) << settings;
+    std::ofstream(path) << (this->grown ? withGrownBounds(settings) : settings);
     const std::string log = this->folder / ("node-" + std::to_string(number) + ".log");
     const auto words = commandOf(role);
     std::vector<char*> arguments;
@@ -184,13 +197,14 @@
     this->record.line("store acknowledges configuration " + std::to_string(version));
 }
 
-void Deployment::writeHost(
-    const Host& host, int number, const std::string& service, const std::string& state, std::int64_t startedAtMs)
+void Deployment::writeHost(const Host& host, int number, const std::string& service, const std::string& state,
+    std::int64_t startedAtMs, int coldRemainingMs)
 {
     this->store.write("servers/" + host.name(),
         R"({"service":")" + service + R"(","address":")" + text(this->machine(number)) + ":"
             + std::to_string(applicationPort) + R"(","zone":"a","version":"v1","slots":2,"state":")" + state
-            + R"(","cold-remaining-ms":0,"seq":1,"born":)" + std::to_string(startedAtMs) + "}");
+            + R"(","cold-remaining-ms":)" + std::to_string(coldRemainingMs) + R"(,"seq":1,"born":)"
+            + std::to_string(startedAtMs) + "}");
     this->record.line("store acknowledges that host " + host.name() + " is " + state);
 }
 
--- a/review/standins-2/Deployment.h
+++ b/review/standins-2/Deployment.h
@@ -21,7 +21,8 @@
     static constexpr std::uint16_t applicationPort = 8165;
     static constexpr std::uint16_t readyPort = 8167;
 
-    Deployment(Loop&, Record&);
+    // isGrown: with the bounds of the grown sites.
+    Deployment(Loop&, Record&, bool isGrown = false);
     ~Deployment();
     Deployment(const Deployment&) = delete;
     Deployment& operator=(const Deployment&) = delete;
@@ -39,8 +40,8 @@
 
     void writeConfiguration(std::uint64_t version, int timeoutMs);
     // startedAtMs: Unix time of the host's start.
-    void writeHost(
-        const Host&, int number, const std::string& service, const std::string& state, std::int64_t startedAtMs);
+    void writeHost(const Host&, int number, const std::string& service, const std::string& state,
+        std::int64_t startedAtMs, int coldRemainingMs = 0);
 
     Store& platformStore() { return this->store; }
     // Whether GET /v1/ready is answered with 200.
@@ -54,6 +55,7 @@
     Loop& loop;
     Record& record;
     Store store;
+    bool grown;
     std::uint32_t network;
     std::filesystem::path folder;
     std::map<int, pid_t> processes;
--- a/review/standins-2/Store.cpp
+++ b/review/standins-2/Store.cpp
@@ -13,6 +13,9 @@
 
 constexpr milliseconds answerTime { 4 };
 
+// As in the site files of the users.
+constexpr std::size_t itemsPerPage = 50;
+
 std::string toBase64(const std::string& bytes)
 {
     static const std::string alphabet = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
@@ -37,7 +40,11 @@
     for (std::size_t begin = query; begin != std::string::npos; begin = target.find('&', begin + 1)) {
         if (target.compare(begin + 1, name.size() + 1, name + "=") == 0) {
             const auto value = begin + name.size() + 2;
-            return target.substr(value, target.find('&', value) - value);
+            std::string text = target.substr(value, target.find('&', value) - value);
+            for (auto slash = text.find("%2F"); slash != std::string::npos; slash = text.find("%2F")) {
+                text.replace(slash, 3, "/");
+            }
+            return text;
         }
     }
     return "";
@@ -112,6 +119,10 @@
     if (descriptor < 0) {
         return;
     }
+    if (this->away) {
+        ::close(descriptor);
+        return;
+    }
     auto connection = std::make_shared<Connection>();
     connection->descriptor = descriptor;
     connection->gateway = gateway;
@@ -154,14 +165,11 @@
 void Store::handle(const std::shared_ptr<Connection>& connection, const std::string& target)
 {
     if (target.starts_with("/v1/kv-range")) {
-        std::string list;
-        for (const auto& [key, item] : this->items) {
-            if (!item.removed && key > parameter(target, "after")) {
-                list += (list.empty() ? "" : ",") + this->encodeItem(key, item);
-            }
-        }
-        this->answer(connection,
-            R"({"items":[)" + list + R"(],"truncated":false,"store-revision":)" + std::to_string(this->revision) + "}");
+        this->answerListing(connection, parameter(target, "after"));
+        return;
+    }
+    if (std::strtoull(parameter(target, "after").c_str(), nullptr, 10) > this->revision) {
+        this->answer(connection, 410, "{}");
         return;
     }
     connection->waiting = true;
@@ -177,6 +185,65 @@
     }
 }
 
+void Store::answerListing(const std::shared_ptr<Connection>& connection, const std::string& after)
+{
+    if (this->losingFurtherPages && !after.empty()) {
+        ++this->lostCount;
+        return; // the connection returns nothing further
+    }
+    std::string list;
+    std::size_t count = 0;
+    bool truncated = false;
+    for (const auto& [key, item] : this->items) {
+        if (item.removed || key <= after) {
+            continue;
+        }
+        if (count == itemsPerPage) {
+            truncated = true;
+            break;
+        }
+        list += (count++ == 0 ? "" : ",") + this->encodeItem(key, item);
+    }
+    this->answer(connection, 200,
+        R"({"items":[)" + list + R"(],"truncated":)" + (truncated ? "true" : "false") + R"(,"store-revision":)"
+            + std::to_string(this->revision) + "}");
+}
+
+void Store::keepCopy()
+{
+    this->copiedItems = this->items;
+    this->copiedRevision = this->revision;
+}
+
+void Store::restoreCopy()
+{
+    this->items = this->copiedItems;
+    this->revision = this->copiedRevision;
+    ++this->era;
+}
+
+void Store::setAway(bool isAway)
+{
+    this->away = isAway;
+    const auto current = this->connections;
+    for (const auto& connection : current) {
+        this->close(connection);
+    }
+}
+
+void Store::setLosingFurtherPages(bool isLosing)
+{
+    this->losingFurtherPages = isLosing;
+    this->answerCount = isLosing ? 0 : this->answerCount;
+    this->lostCount = isLosing ? 0 : this->lostCount;
+}
+
+std::uint64_t Store::revisionOf(const std::string& key) const
+{
+    const auto found = this->items.find(key);
+    return found == this->items.end() ? 0 : found->second.revision;
+}
+
 void Store::answerWatch(const std::shared_ptr<Connection>& connection)
 {
     connection->waiting = false;
@@ -186,7 +253,8 @@
             list += (list.empty() ? "" : ",") + this->encodeItem(key, item);
         }
     }
-    this->answer(connection, R"({"events":[)" + list + R"(],"store-revision":)" + std::to_string(this->revision) + "}");
+    this->answer(
+        connection, 200, R"({"events":[)" + list + R"(],"store-revision":)" + std::to_string(this->revision) + "}");
 }
 
 void Store::changed()
@@ -199,12 +267,14 @@
     }
 }
 
-void Store::answer(const std::shared_ptr<Connection>& connection, const std::string& body)
+void Store::answer(const std::shared_ptr<Connection>& connection, int status, const std::string& body)
 {
+    ++this->answerCount;
     if (connection->descriptor < 0 || this->cutGateways.contains(connection->gateway)) {
         return; // lost; the connection stays open and carries nothing more
     }
-    const std::string message = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
+    const std::string message = "HTTP/1.1 " + std::to_string(status) + " Status\r\nStore-Era: "
+        + std::to_string(this->era) + "\r\nContent-Type: application/json\r\nContent-Length: "
         + std::to_string(body.size()) + "\r\nConnection: close\r\n\r\n" + body;
     // Far below the size of a socket's buffer.
     send(connection->descriptor, message.data(), message.size(), MSG_NOSIGNAL);
