An open flow without a request is kept like any open flow

Callers that pause between the handshake and their first request got resets. Cause: an agent took a flow for opened once its caller had sent data, and removed it 1.5 s after its last packet otherwise; then all agents denied it. A late copy of the first packet had the same effect. Evidence: the new test on the code before, not_found for the flow. Change: the caller's acknowledgement marks the flow as opened; opened flows are kept for the lifetime of a flow. Flows that the backend server has answered, but whose caller has not accepted the answer, are kept while the answer may be repeated (5 s).

--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -158,7 +158,7 @@
         flow = nullptr;
     }
     if (flow != nullptr) {
-        if (flow->phase == HostFlowPhase::Idle || flow->phase == HostFlowPhase::Working) {
+        if (flow->opened) {
             // A late copy. The backend server would return it, as if it did not hold the flow.
             actions.emplace_back(SendVerdict { offer.balancer, key, FlowVerdict::Owned, {}, {} });
             return;
@@ -222,8 +222,8 @@
 
 bool HostAdmission::isOpenElsewhere(const HostFlow& flow, std::optional<std::uint32_t> acknowledgement)
 {
-    const bool notYetUsed = flow.phase == HostFlowPhase::Opening || flow.phase == HostFlowPhase::Stalled;
-    return notYetUsed && acknowledgement && (!flow.hostAnswered || *acknowledgement != flow.hostSequence + 1);
+    return !flow.opened && flow.phase != HostFlowPhase::Closed && acknowledgement
+        && (!flow.hostAnswered || *acknowledgement != flow.hostSequence + 1);
 }
 
 void HostAdmission::abandonOpening(const FlowKey& key, const HostFlow& flow, TimePoint now)
@@ -317,6 +317,7 @@
         actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::Owned, {}, {} });
     }
     flow->lastPacket = now;
+    flow->opened = flow->opened || packet.acknowledges;
     if (!packet.payload.empty()) {
         this->flows.setPhase(*flow, HostFlowPhase::Working, now);
         if (auto metadata = this->readRequest(packet.payload); !metadata.requestId.empty()) {
--- a/src/state/HostFlows.cpp
+++ b/src/state/HostFlows.cpp
@@ -7,14 +7,25 @@
 namespace {
 
 // Callers abandon a new flow 1.4 s after its first packet.
-constexpr std::chrono::milliseconds unopenedTimeout { 1500 };
+constexpr std::chrono::milliseconds unansweredTimeout { 1500 };
+
+// A backend server repeats its answer to a first packet at intervals of up to 1.6 s until the caller accepts it. Three
+// intervals allow for the loss of two repetitions.
+constexpr std::chrono::milliseconds unopenedTimeout { 5000 };
 
 // Closed flows are kept this long for packets that are retransmitted after both ends have finished.
 constexpr std::chrono::milliseconds closedRetention { 2000 };
 
-bool isUnopened(const HostFlow& flow)
+// A flow that has opened may stay open without a packet, also before its first request.
+std::chrono::milliseconds timeout(const HostFlow& flow, std::chrono::milliseconds idleLimit)
 {
-    return flow.phase == HostFlowPhase::Opening || flow.phase == HostFlowPhase::Stalled;
+    if (flow.phase == HostFlowPhase::Closed) {
+        return closedRetention;
+    }
+    if (flow.opened) {
+        return idleLimit;
+    }
+    return flow.hostAnswered ? unopenedTimeout : unansweredTimeout;
 }
 
 }
@@ -55,6 +66,7 @@
     ++this->counts[static_cast<std::size_t>(phase)];
     flow.phase = phase;
     flow.phaseSince = now;
+    flow.opened = flow.opened || phase == HostFlowPhase::Idle || phase == HostFlowPhase::Working;
 }
 
 std::uint32_t HostFlows::workingLongerThan(std::chrono::microseconds limit, TimePoint now) const
@@ -97,9 +109,7 @@
 {
     std::erase_if(this->flows, [&](const auto& item) {
         const HostFlow& flow = item.second;
-        const auto idle = now - flow.lastPacket;
-        const bool ended = (flow.phase == HostFlowPhase::Closed && idle > closedRetention)
-            || (isUnopened(flow) && idle > unopenedTimeout) || idle > idleLimit;
+        const bool ended = now - flow.lastPacket > timeout(flow, idleLimit);
         if (ended) {
             --this->counts[static_cast<std::size_t>(flow.phase)];
         }
--- a/src/state/HostFlows.h
+++ b/src/state/HostFlows.h
@@ -16,8 +16,8 @@
 
 // Progress of a flow at the backend server.
 enum class HostFlowPhase {
-    Opening, // delivered; the caller's next packet is expected
-    Stalled, // delivered; the caller's next packet is overdue, so no request is expected
+    Opening, // delivered; the caller's request is expected
+    Stalled, // delivered; the caller's request is overdue, so that no slot is reserved for it
     Idle, // open; no request in progress
     Working, // the backend server has received a request and has not started to answer
     Closed, // both ends have finished
@@ -28,6 +28,7 @@
     Endpoint balancer; // the balancer that last forwarded a packet of the flow
     std::uint32_t hostSequence { 0 }; // sequence number of the backend server's first packet
     bool hostAnswered { false }; // the backend server has accepted the flow
+    bool opened { false }; // the caller has accepted the backend server's answer
     bool callerFinished { false };
     bool hostFinished { false };
     std::chrono::steady_clock::time_point startedAt;
@@ -57,8 +58,8 @@
     // Returns opening flows that the backend server has not answered within the limit.
     std::vector<FlowKey> unanswered(std::chrono::milliseconds limit, TimePoint now) const;
 
-    // Removes flows without packets for longer than the limit. Closed flows and flows that have not opened are removed
-    // after fixed times without packets.
+    // Removes flows without packets for longer than the limit. Closed flows and flows that the caller has not opened
+    // are removed after fixed times without packets.
     void expire(std::chrono::milliseconds idleLimit, TimePoint now);
 
     std::uint32_t opening() const { return this->counts[static_cast<std::size_t>(HostFlowPhase::Opening)]; }
--- a/test/unit/HostAdmissionTest.cpp
+++ b/test/unit/HostAdmissionTest.cpp
@@ -76,6 +76,23 @@
         this->admission.handleQuery(otherBalancer, { { caller, route }, acknowledgement }, start, this->actions);
     }
 
+    // Opens a flow whose caller has not sent a request yet.
+    void openFlowWithoutRequest()
+    {
+        this->offer();
+        this->fromHost([](FlowPacket& packet) {
+            packet.opens = true;
+            packet.sequence = hostSequence;
+        });
+        this->fromCaller([](FlowPacket&) {});
+    }
+
+    void tickAfter(milliseconds delay)
+    {
+        this->actions.clear();
+        this->admission.tick(start + delay, this->actions);
+    }
+
     template <typename Change> void fromHost(Change change)
     {
         this->actions.clear();
@@ -400,3 +417,55 @@
     older.offer("job", caller, 1);
     CHECK(older.verdicts() == std::vector { FlowVerdict::RefusedLeaving });
 }
+
+// Guards against FLOW: the agent forgets an open flow whose caller pauses before its first request, and denies it.
+TEST_CASE("an open flow that has not carried a request yet is kept like any open flow")
+{
+    Agent agent;
+    agent.openFlowWithoutRequest();
+    for (milliseconds delay { 100 }; delay <= seconds(60); delay += milliseconds(500)) {
+        agent.tickAfter(delay);
+    }
+    agent.query();
+    CHECK(agent.verdicts() == std::vector { FlowVerdict::Owned });
+    CHECK(agent.admission.occupied() == 0); // the flow reserves no slot
+    agent.fromCaller([](FlowPacket& packet) { packet.payload = bytes; });
+    CHECK(agent.delivered());
+    CHECK(agent.admission.occupied() == 1);
+}
+
+// Guards against FLOW: the backend server returns a late copy of the first packet, and the agent forgets the open flow.
+TEST_CASE("a late copy of the first packet of an open flow without a request is not delivered")
+{
+    Agent agent;
+    agent.openFlowWithoutRequest();
+    agent.offer();
+    CHECK_FALSE(agent.delivered());
+    CHECK(agent.verdicts() == std::vector { FlowVerdict::Owned });
+}
+
+// Guards against a reset of a caller that pauses after a handshake whose last packet was lost. The backend server
+// repeats its answer after up to 1.6 s.
+TEST_CASE("a flow that the backend server has answered is kept while it may repeat its answer")
+{
+    Agent agent;
+    agent.offer();
+    agent.fromHost([](FlowPacket& packet) {
+        packet.opens = true;
+        packet.sequence = hostSequence;
+    });
+    agent.tickAfter(milliseconds(4500));
+    CHECK(agent.admission.flowCount() == 1);
+    agent.tickAfter(milliseconds(5500));
+    CHECK(agent.admission.flowCount() == 0);
+}
+
+TEST_CASE("a flow that the backend server has not answered is forgotten when its caller has given up")
+{
+    Agent agent;
+    agent.offer();
+    agent.tickAfter(milliseconds(1000));
+    CHECK(agent.admission.flowCount() == 1);
+    agent.tickAfter(milliseconds(2000));
+    CHECK(agent.admission.flowCount() == 0);
+}
