Agents remember of which flows their backend server has returned a packet

Cause: after a loss of power every agent answers may_hold since. Change: an agent that has seen its backend server return a packet of a flow answers not_found for it, until nobody has asked for 2 s or a new first packet comes. At most 4,096 flows.

--- a/src/coordination/HostAdmission.cpp
+++ b/src/coordination/HostAdmission.cpp
@@ -23,8 +23,11 @@
 // The caller abandons a connection attempt 1.4 s after its first packet.
 constexpr std::chrono::milliseconds openingLifetime { 1400 };
 
-// A balancer sends packets of a flow to several agents only until the owner has answered.
-constexpr std::chrono::milliseconds declinedRetention { 2000 };
+// A caller repeats its packets, and balancers their questions, at intervals of up to 1.6 s.
+constexpr std::chrono::milliseconds absentRetention { 2000 };
+
+// Bounds the memory used after all machines have lost power; each flow takes about 50 bytes.
+constexpr std::size_t maximumReturnedFlows = 4096;
 
 constexpr std::chrono::milliseconds sweepInterval { 500 };
 
@@ -157,6 +160,7 @@
         this->flows.erase(key); // the caller uses the port of a flow that has ended for a new one
         flow = nullptr;
     }
+    this->returnedFlows.erase(key); // the backend server may hold it from now on
     if (flow != nullptr) {
         if (flow->opened) {
             // A late copy. The backend server would return it, as if it did not hold the flow.
@@ -236,8 +240,12 @@
     }
 }
 
-bool HostAdmission::isDeclined(const FlowKey& key, TimePoint now)
+bool HostAdmission::isKnownAbsent(const FlowKey& key, TimePoint now)
 {
+    if (const auto returned = this->returnedFlows.find(key); returned != this->returnedFlows.end()) {
+        returned->second = now;
+        return true;
+    }
     // The caller sends later packets only after it has accepted an answer, so a held flow is open elsewhere.
     const auto dropped = std::erase_if(this->held, [&](const auto& item) { return item.second.flow == key; });
     if (dropped > 0 && !this->mayHoldUnknownFlows(now)) {
@@ -267,7 +275,7 @@
             verdict = FlowVerdict::Owned;
             flow->balancer = balancer;
         }
-    } else if (!this->isDeclined(query.flow, now) && this->mayHoldUnknownFlows(now)) {
+    } else if (!this->isKnownAbsent(query.flow, now) && this->mayHoldUnknownFlows(now)) {
         verdict = FlowVerdict::MayHold;
     }
     actions.emplace_back(SendVerdict { balancer, query.flow, verdict, {}, {} });
@@ -286,7 +294,7 @@
     std::span<const std::uint8_t> datagram, TimePoint now, std::vector<AgentAction>& actions)
 {
     const FlowKey key = packet.keyFromCaller();
-    if (this->isDeclined(key, now) || !this->mayHoldUnknownFlows(now)) {
+    if (this->isKnownAbsent(key, now) || !this->mayHoldUnknownFlows(now)) {
         actions.emplace_back(SendVerdict { balancer, key, FlowVerdict::NotFound, {}, {} });
         return;
     }
@@ -364,6 +372,13 @@
     flow.requestId.clear();
 }
 
+void HostAdmission::recordReturned(const FlowKey& key, TimePoint now)
+{
+    if (this->returnedFlows.size() < maximumReturnedFlows) {
+        this->returnedFlows.insert_or_assign(key, now);
+    }
+}
+
 void HostAdmission::handleReturnedPacket(const FlowPacket& packet, TimePoint now, std::vector<AgentAction>& actions)
 {
     const FlowKey key = packet.keyFromCaller();
@@ -373,6 +388,7 @@
             return; // a late copy; the answer to a packet delivered on trial is still to come
         }
         // The flow is held by another agent's backend server or by none.
+        this->recordReturned(key, now);
         if (const auto delivery = this->tentativeDeliveries.extract(key)) {
             actions.emplace_back(ReportReturnedPacket { key, false });
             actions.emplace_back(SendVerdict { delivery.mapped().balancer, key, FlowVerdict::NotFound, {}, {} });
@@ -383,6 +399,7 @@
         return; // a late packet of a flow that has ended
     }
     if (!packet.isFirst()) {
+        this->recordReturned(key, now);
         actions.emplace_back(ReportReturnedPacket { key, true });
     }
     const Endpoint balancer = flow->balancer;
@@ -522,7 +539,9 @@
     this->flows.expire(this->flowLifetime, now);
     std::erase_if(
         this->tentativeDeliveries, [&](const auto& item) { return now - item.second.since > tentativeLifetime; });
-    std::erase_if(this->declinedFlows, [&](const auto& item) { return now - item.second > declinedRetention; });
+    const auto isForgotten = [&](const auto& item) { return now - item.second > absentRetention; };
+    std::erase_if(this->declinedFlows, isForgotten);
+    std::erase_if(this->returnedFlows, isForgotten);
 }
 
 }
--- a/src/coordination/HostAdmission.h
+++ b/src/coordination/HostAdmission.h
@@ -131,9 +131,10 @@
     static bool isOpenElsewhere(const HostFlow&, std::optional<std::uint32_t> acknowledgement);
     // Removes a flow that the caller has opened at another backend server.
     void abandonOpening(const FlowKey&, const HostFlow&, TimePoint now);
-    // Removes a queued flow that the caller has opened at another backend server. Returns whether the flow is known to
-    // be open there.
-    bool isDeclined(const FlowKey&, TimePoint now);
+    // Removes a queued flow that the caller has opened at another backend server. Returns whether the flow is known not
+    // to be open at this one.
+    bool isKnownAbsent(const FlowKey&, TimePoint now);
+    void recordReturned(const FlowKey&, TimePoint now);
     std::uint32_t heldLate() const;
     double decayedDemand(TimePoint now) const;
     void updateMeanWork(std::chrono::microseconds work);
@@ -158,6 +159,8 @@
     std::unordered_map<FlowKey, TentativeDelivery, FlowKeyHash> tentativeDeliveries;
     // Flows that the caller has opened at another backend server, with the time of the last packet.
     std::unordered_map<FlowKey, TimePoint, FlowKeyHash> declinedFlows;
+    // Flows that the backend server does not hold, since it has returned a packet, with the time of the last question.
+    std::unordered_map<FlowKey, TimePoint, FlowKeyHash> returnedFlows;
     TimePoint hostSilentUntil;
     TimePoint nextSweep;
 };
--- a/test/unit/HostAdmissionTest.cpp
+++ b/test/unit/HostAdmissionTest.cpp
@@ -490,3 +490,37 @@
     agent.tickAfter(milliseconds(2000));
     CHECK(agent.admission.flowCount() == 0);
 }
+
+// Guards against a search in which every agent delivers whole packets of a lost flow again, each time that its caller
+// repeats one.
+TEST_CASE("a restarted agent denies a flow of which its backend server has returned a packet")
+{
+    Agent agent(seconds(1));
+    agent.fromCaller([](FlowPacket&) {}, SteeringPurpose::Recover);
+    agent.returned();
+    REQUIRE(agent.verdicts() == std::vector { FlowVerdict::NotFound });
+    SUBCASE("a balancer asks for it")
+    {
+        agent.query();
+        CHECK(agent.verdicts() == std::vector { FlowVerdict::NotFound });
+    }
+    SUBCASE("a balancer sends another packet of it")
+    {
+        agent.fromCaller([](FlowPacket&) {}, SteeringPurpose::Recover);
+        CHECK_FALSE(agent.delivered());
+        CHECK(agent.verdicts() == std::vector { FlowVerdict::NotFound });
+    }
+    SUBCASE("the caller opens a flow from the same port")
+    {
+        agent.openFlow();
+        CHECK(agent.delivered());
+        agent.query();
+        CHECK(agent.verdicts() == std::vector { FlowVerdict::Owned });
+    }
+    SUBCASE("nobody has asked for it for some time")
+    {
+        agent.tickAfter(seconds(3));
+        agent.query();
+        CHECK(agent.verdicts() == std::vector { FlowVerdict::MayHold });
+    }
+}
