--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -94,7 +94,7 @@
 
 void BalancerNode::publishSnapshot()
 {
-    this->snapshotVersion = this->reader.version();
+    this->snapshotVersion = this->directory.version();
     std::string encoded = encodeSnapshot(this->directory, std::chrono::steady_clock::now());
     const std::lock_guard lock(this->snapshotMutex);
     this->encodedSnapshot = std::move(encoded);
@@ -129,7 +129,7 @@
     if (this->reader.isFetching()) {
         return;
     }
-    const auto peer = this->peers.newerPeer(this->reader.version(), now);
+    const auto peer = this->peers.newerPeer(this->directory.versionBegun(), now);
     if (!peer) {
         this->behindSince.reset();
         return;
@@ -349,11 +349,11 @@
 {
     this->nextHello = now + helloInterval;
     // A snapshot says how much longer hosts are cold.
-    if (this->snapshotVersion != this->reader.version() || this->directory.hasColdHost(now)) {
+    if (this->snapshotVersion != this->directory.version() || this->directory.hasColdHost(now)) {
         this->publishSnapshot();
     }
     const auto zones = this->directory.evacuatedZones().names();
-    HelloMessage message { { this->incarnation, this->reader.version(), this->reader.available() }, {},
+    HelloMessage message { { this->incarnation, this->directory.version(), this->reader.available() }, {},
         { zones.begin(), zones.end() } };
     for (const Endpoint& peer : this->peers.livePeers(now, maximumListedPeers)) {
         message.balancers.push_back(peer.address);
--- a/src/app/StoreReader.cpp
+++ b/src/app/StoreReader.cpp
@@ -118,8 +118,10 @@
         this->handleFetchFailure("read answer", "answer is not a valid directory snapshot");
         return;
     }
-    if (snapshot->version <= this->directory.version()) {
-        return; // this process's store calls have already reached this version
+    if (snapshot->version <= this->directory.versionBegun()) {
+        // This process's store calls have already reached this version, or have shown a later era.
+        this->metrics.refusals("fetch from peer", "older_version").Increment();
+        return;
     }
     if (snapshot->version.era > this->directory.storeEra()) {
         this->directory.beginEra(snapshot->version.era, now);
--- a/src/app/StoreReader.h
+++ b/src/app/StoreReader.h
@@ -49,7 +49,6 @@
     void fetchFrom(const Endpoint& peer, TimePoint now);
     bool isFetching() const { return this->fetch != nullptr; }
 
-    StoreVersion version() const { return this->directory.version(); }
 
     // Whether the last store call succeeded; false until the first success.
     bool available() const { return this->answered && !this->unavailable; }
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -64,6 +64,11 @@
     // that of the era before, so that peers do not take a part for the whole.
     const StoreVersion& version() const { return this->completeVersion; }
 
+    // The last version of the store that is known completely or, while the first listing of an era is in progress, the
+    // beginning of that era. A peer's state is newer only if its version is above this one: the revisions of an earlier
+    // era say nothing about those of the present one.
+    StoreVersion versionBegun() const { return std::max(this->completeVersion, StoreVersion { this->era, 0 }); }
+
     // Whether the store has been listed once, so that hosts and evacuated zones are known.
     bool isListed() const { return this->completeVersion.revision > 0; }
 
--- a/test/integration/NodeProcessesTest.cpp
+++ b/test/integration/NodeProcessesTest.cpp
@@ -101,13 +101,13 @@
         this->agent->waitForEvent("started");
     }
 
-    // Starts the balancer, or replaces it by a new process.
-    void startBalancer()
+    // Starts the balancer, or replaces it by a new process, and waits for the event.
+    void startBalancer(const std::string& event = "ready")
     {
         this->balancer.reset();
         this->balancer = std::make_unique<ChildProcess>("node-balancer",
             std::vector<std::string> { NODE_BINARY, "balancer", "--settings", this->path("balancer") });
-        this->balancer->waitForEvent("ready");
+        this->balancer->waitForEvent(event);
     }
 
     // A configuration with a route to the address 198.18.0.NUMBER; `target` is its member that names services.
@@ -177,7 +177,7 @@
     // Starts another balancer, which reads another store, and waits until both have the same state.
     void startPeerBalancer(const Endpoint& peerStore)
     {
-        this->writeSettings("peer", this->network + 5, "grace-s=3", "", peerStore);
+        this->writeSettings("peer", this->peerIp, "grace-s=3", "", peerStore);
         this->peer = std::make_unique<ChildProcess>(
             "node-peer", std::vector<std::string> { NODE_BINARY, "balancer", "--settings", this->path("peer") });
         this->peer->waitForEvent("ready");
@@ -197,9 +197,9 @@
     {
         const auto at = [ip](std::uint16_t port) { return formatEndpoint({ ip, port }); };
         std::string text = fmt::format("node-name={}-1\nzone=a\nip={}\nlisten.datagram-addr={}\nlisten.ready-addr={}\n"
-                                       "internal-ports=7720,7735\nplatform.address={}\nbounds.{}\n",
+                                       "internal-ports=7720,7735\nplatform.address={}\nbounds.{}\nseeds={}:8166\n",
             role, formatAddress(ip), at(packetPort), at(8167), formatEndpoint(otherStore.value_or(this->storeAddress)),
-            grace);
+            grace, formatAddress(this->peerIp));
         if (!serviceLine.empty()) {
             text += fmt::format("app={}\nlisten.outbound={}\n{}\n", formatEndpoint(this->hostAddress),
                 formatEndpoint(this->outbound), serviceLine);
@@ -254,6 +254,7 @@
     std::uint32_t balancerIp { this->network + 1 };
     std::uint32_t agentIp { this->network + 2 };
     std::uint32_t callerIp { this->network + 3 };
+    std::uint32_t peerIp { this->network + 5 };
     Endpoint storeAddress { this->network + 4, 8169 };
     Endpoint balancerPackets { this->balancerIp, packetPort };
     Endpoint hostAddress { this->agentIp, 8165 };
@@ -489,6 +490,37 @@
     CHECK(SmallFleet::receive(fleet.callerSocket, milliseconds(300)).empty());
 }
 
+// Guards against a balancer that takes the revisions of an earlier era of the store for ones of the era that it has
+// just begun to list. It then refuses newer entries, and flows go to a draining host.
+TEST_CASE("a peer's state of an earlier era is not taken between two pages of a listing [DRAIN]")
+{
+    SmallFleet fleet;
+    fleet.balancer.reset();
+    // The peer cannot see that the store has come back from a copy.
+    StoreStandin peerStore({ fleet.network + 6, 8169 });
+    peerStore.write("op/config", SmallFleet::configuration(3, 1, R"("service":"job")"));
+    for (int change = 0; change < 20; ++change) {
+        peerStore.write("servers/i-1", fleet.hostValue("ready", 0));
+    }
+    fleet.startPeerBalancer({ fleet.network + 6, 8169 });
+    fleet.peer->send(SIGSTOP);
+    fleet.store.keepCopy();
+    fleet.store.restoreCopy();
+    fleet.store.setPageItems(1);
+    fleet.store.setHoldingFurtherPages(true);
+    fleet.startBalancer("store_era");
+    fleet.peer->send(SIGCONT);
+    usleep(1500000); // the peer announces its state four times a second
+    CHECK(fleet.balancer->events("peer_state_taken").empty());
+    fleet.store.setHoldingFurtherPages(false);
+    fleet.balancer->waitForEvent("ready");
+    fleet.checkServed(1);
+    fleet.store.write("servers/i-1", fleet.hostValue("draining", 0));
+    CHECK(fleet.balancerLogs("host_changed", "state", "draining"));
+    CHECK(isReset(fleet.answerToFirstPacket(fleet.service)));
+    CHECK(SmallFleet::receive(fleet.hostSocket, milliseconds(100)).empty());
+}
+
 TEST_CASE("a weighted route is served, and a service without a host leaves its share to the others [CONFIG]")
 {
     SmallFleet fleet;
--- a/test/integration/StoreStandin.cpp
+++ b/test/integration/StoreStandin.cpp
@@ -5,6 +5,7 @@
 #include <civetweb.h>
 #include <condition_variable>
 #include <google/protobuf/stubs/strutil.h>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -105,15 +106,41 @@
         this->copiedRevision = this->revision;
     }
 
-    void restoreCopy()
+    void restoreCopy(bool raisesEra)
     {
         const std::lock_guard lock(this->mutex);
         this->items = this->copiedItems;
         this->revision = this->copiedRevision;
-        ++this->era;
+        this->era += raisesEra ? 1 : 0;
         this->changed.notify_all();
     }
 
+    void setForgettingHistory(bool isForgetting)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->forgettingHistory = isForgetting;
+        this->changed.notify_all();
+    }
+
+    void setPageItems(std::size_t count)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->pageItems = count;
+    }
+
+    void setHoldingFurtherPages(bool isHolding)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->holdingFurtherPages = isHolding;
+        this->changed.notify_all();
+    }
+
+    std::size_t calls() const
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->callCount;
+    }
+
     void setDown(bool isDown)
     {
         const std::lock_guard lock(this->mutex);
@@ -132,15 +159,20 @@
     static int handleRange(mg_connection* connection, void* data)
     {
         auto& self = *static_cast<Implementation*>(data);
-        const std::lock_guard lock(self.mutex);
+        const std::string after = queryText(*mg_get_request_info(connection), "after");
+        std::unique_lock lock(self.mutex);
+        ++self.callCount;
+        self.changed.wait(lock, [&] { return self.down || after.empty() || !self.holdingFurtherPages; });
         if (self.down) {
             return answer(connection, 503, self.era, "{}");
         }
         std::string list = "[";
-        auto item = self.items.upper_bound(queryText(*mg_get_request_info(connection), "after"));
-        for (; item != self.items.end() && list.size() < pageBytes; ++item) {
+        auto item = self.items.upper_bound(after);
+        for (std::size_t count = 0; item != self.items.end() && list.size() < pageBytes && count < self.pageItems;
+             ++item) {
             if (!item->second.removed) {
                 list += (list.size() > 1 ? "," : "") + item->second.text;
+                ++count;
             }
         }
         return answer(connection, 200, self.era,
@@ -155,11 +187,13 @@
         const std::uint64_t after = queryNumber(request, "after");
         const std::chrono::milliseconds wait(queryNumber(request, "wait-ms"));
         std::unique_lock lock(self.mutex);
-        self.changed.wait_for(lock, wait, [&] { return self.down || self.revision != after; });
+        ++self.callCount;
+        self.changed.wait_for(
+            lock, wait, [&] { return self.down || self.forgettingHistory || self.revision != after; });
         if (self.down) {
             return answer(connection, 503, self.era, "{}");
         }
-        if (self.revision < after) {
+        if (self.forgettingHistory || self.revision < after) {
             return answer(connection, 410, self.era, "{}");
         }
         const std::string body
@@ -186,7 +220,7 @@
         return list + "]";
     }
 
-    std::mutex mutex;
+    mutable std::mutex mutex;
     std::condition_variable changed;
     std::map<std::string, Item> items;
     std::uint64_t revision { 0 };
@@ -195,6 +229,10 @@
     std::uint64_t copiedRevision { 0 };
     bool down { false };
     bool holdingWatches { false };
+    bool holdingFurtherPages { false };
+    bool forgettingHistory { false };
+    std::size_t pageItems { std::numeric_limits<std::size_t>::max() };
+    std::size_t callCount { 0 };
     mg_context* server { nullptr };
 };
 
@@ -218,7 +256,15 @@
 
 void StoreStandin::keepCopy() { this->implementation->keepCopy(); }
 
-void StoreStandin::restoreCopy() { this->implementation->restoreCopy(); }
+void StoreStandin::restoreCopy(bool raisesEra) { this->implementation->restoreCopy(raisesEra); }
+
+void StoreStandin::setForgettingHistory(bool forgetting) { this->implementation->setForgettingHistory(forgetting); }
+
+void StoreStandin::setPageItems(std::size_t count) { this->implementation->setPageItems(count); }
+
+void StoreStandin::setHoldingFurtherPages(bool holding) { this->implementation->setHoldingFurtherPages(holding); }
+
+std::size_t StoreStandin::calls() const { return this->implementation->calls(); }
 
 void StoreStandin::setDown(bool down) { this->implementation->setDown(down); }
 
--- a/test/integration/StoreStandin.h
+++ b/test/integration/StoreStandin.h
@@ -2,6 +2,7 @@
 
 #include "protocol/Endpoint.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -25,13 +26,26 @@
     void remove(const std::string& key);
 
     // Keeps a copy of the present state, to which restoreCopy() returns: later changes are forgotten, revisions are
-    // given out again, and all answers state an era that is higher by one. Waiting watches get 410.
+    // given out again, and all answers state an era that is higher by one unless `raisesEra` is false. Waiting watches
+    // get 410.
     void keepCopy();
-    void restoreCopy();
+    void restoreCopy(bool raisesEra = true);
 
     // While down, every call, including pending watches, is answered with 503.
     void setDown(bool);
 
+    // While forgetting, every watch gets 410 at once.
+    void setForgettingHistory(bool);
+
+    // Sets the number of items after which a page of a listing is full.
+    void setPageItems(std::size_t);
+
+    // While holding, answers to further pages of a listing are delivered only afterwards.
+    void setHoldingFurtherPages(bool);
+
+    // Number of calls so far.
+    std::size_t calls() const;
+
     // While holding, answers to watches are made as usual but are delivered only afterwards, like those that a
     // partition delays.
     void setHoldingWatches(bool);
--- a/test/unit/StoreEraTest.cpp
+++ b/test/unit/StoreEraTest.cpp
@@ -206,3 +206,23 @@
     CHECK(directory.expire(start + seconds(5) + HostDirectory::missingHostTimeout));
     CHECK_FALSE(find(directory, "b"));
 }
+
+// Guards against the revision of an earlier era that is taken for one of the era being listed: the balancer then watches
+// from a revision that the store does not have, and refuses newer entries.
+TEST_CASE("no state of an earlier era is newer than the first page of a listing")
+{
+    PeerBalancers peers({ 1, 7720 });
+    peers.recordHello({ 2, 7720 }, { 1, { 1, 90 }, true }, start);
+    HostDirectory directory;
+    CHECK(peers.newerPeer(directory.versionBegun(), start));
+    directory.beginEra(2, start);
+    directory.beginListing();
+    directory.apply(written("a", 40), start);
+    CHECK(directory.version() == StoreVersion {});
+    CHECK(directory.versionBegun() == StoreVersion { 2, 0 });
+    CHECK_FALSE(peers.newerPeer(directory.versionBegun(), start));
+    peers.recordHello({ 3, 7720 }, { 1, { 2, 45 }, true }, start);
+    CHECK(peers.newerPeer(directory.versionBegun(), start) == Endpoint { 3, 7720 });
+    directory.endListing(45, start);
+    CHECK_FALSE(peers.newerPeer(directory.versionBegun(), start));
+}
