A directory between two eras is neither complete nor offered to peers

The directory also still counted as complete, so that a flow at a host that has started since the store came back would be reset as not_found.

--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -1,6 +1,5 @@
 #include "app/BalancerNode.h"
 
-#include "app/DirectorySnapshot.h"
 #include "coordination/HelloInterval.h"
 #include "platform/PacketFormat.h"
 #include "platform/Readiness.h"
@@ -92,20 +91,6 @@
     this->peers.setSeeds(std::move(seeds));
 }
 
-void BalancerNode::publishSnapshot()
-{
-    this->snapshotVersion = this->directory.version();
-    std::string encoded = encodeSnapshot(this->directory, std::chrono::steady_clock::now());
-    const std::lock_guard lock(this->snapshotMutex);
-    this->encodedSnapshot = std::move(encoded);
-}
-
-std::string BalancerNode::snapshot() const
-{
-    const std::lock_guard lock(this->snapshotMutex);
-    return this->encodedSnapshot;
-}
-
 void BalancerNode::learnPeers(const std::vector<std::uint32_t>& addresses, TimePoint now)
 {
     std::vector<Endpoint> endpoints;
@@ -178,7 +163,7 @@
             { { "configuration", static_cast<std::int64_t>(this->directory.routes().version) },
                 { "hosts", static_cast<std::int64_t>(agents.size()) } });
     }
-    this->publishSnapshot();
+    this->snapshot.update(this->directory, now);
     this->nextHello = now; // announces the new revision to peers at once
     this->steering.retryWaiting(now, this->actions);
     this->perform();
@@ -349,8 +334,8 @@
 {
     this->nextHello = now + helloInterval;
     // A snapshot says how much longer hosts are cold.
-    if (this->snapshotVersion != this->directory.version() || this->directory.hasColdHost(now)) {
-        this->publishSnapshot();
+    if (this->snapshot.version() != this->directory.version() || this->directory.hasColdHost(now)) {
+        this->snapshot.update(this->directory, now);
     }
     const auto zones = this->directory.evacuatedZones().names();
     HelloMessage message { { this->incarnation, this->directory.version(), this->reader.available() }, {},
@@ -447,7 +432,7 @@
     const AdminServer admin({ this->settings.readyAddress, this->settings.metricsAddress, this->settings.peerAddress },
         this->metrics,
         { [this] { return this->ready.load(); }, [this] { return this->status(); }, platform::readinessPath,
-            [this] { return this->snapshot(); } });
+            [this] { return this->snapshot.encoded(); } });
     this->log.log(EventLog::Importance::Notable, "started",
         { { "packets", formatEndpoint(this->settings.packetAddress) },
             { "peers", formatEndpoint(this->settings.peerAddress) },
--- a/src/app/BalancerNode.h
+++ b/src/app/BalancerNode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "app/NodeSettings.h"
+#include "app/PublishedSnapshot.h"
 #include "app/SettingsReload.h"
 #include "app/SteeringMessages.h"
 #include "app/StoreReader.h"
@@ -57,8 +58,6 @@
     void handleHello(const Endpoint& peer, const HelloMessage&, TimePoint now);
     void learnPeers(const std::vector<std::uint32_t>& addresses, TimePoint now);
     void synchronizeWithPeers(TimePoint now);
-    void publishSnapshot();
-    std::string snapshot() const;
     void startShutdown(TimePoint now);
     bool isStopped(TimePoint now) const;
     std::chrono::milliseconds timeout(TimePoint now) const;
@@ -74,6 +73,7 @@
     UdpSocket peerSocket;
     SettingsReload reload;
     HostDirectory directory;
+    PublishedSnapshot snapshot;
     FlowPlacement placement;
     FlowSteering steering;
     StoreReader reader;
@@ -89,9 +89,6 @@
     std::optional<TimePoint> behindSince; // since when a peer has had a newer store revision
     bool discardingStalePackets { false };
     bool stopping { false };
-    mutable std::mutex snapshotMutex; // the HTTP threads read the snapshot
-    std::string encodedSnapshot;
-    StoreVersion snapshotVersion; // of the store, that the encoded snapshot holds
     std::atomic<bool> ready { false };
     std::atomic<std::uint64_t> configurationVersion { 0 };
     std::atomic<std::uint64_t> flowCount { 0 };
--- a/src/state/HostDirectory.cpp
+++ b/src/state/HostDirectory.cpp
@@ -78,6 +78,7 @@
     this->era = nextEra;
     this->knownRevision = 0;
     this->eraSince = now;
+    this->complete = false; // hosts that have started since may be unknown
     for (auto& [id, host] : this->known) {
         host.revision = 0;
     }
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -95,7 +95,7 @@
     // Ends a listing of which not all pages could be read, so that it does not show which hosts are missing.
     void abandonListing() { this->isListing = false; }
 
-    // Whether every running host is known: the whole store has been read once, and no host is missing at present.
+    // Whether every running host is known: the whole store has been read in the present era, and no host is missing.
     bool isComplete() const;
 
     // Records that the last listing was a peer's and left out hosts that are missing there. After missingHostTimeout
--- a/test/unit/StoreEraTest.cpp
+++ b/test/unit/StoreEraTest.cpp
@@ -3,6 +3,7 @@
 // removal that the copy has forgotten (DRAIN).
 
 #include "app/DirectorySnapshot.h"
+#include "app/PublishedSnapshot.h"
 #include "platform/StoreDocuments.h"
 #include "state/HostDirectory.h"
 #include "state/PeerBalancers.h"
@@ -207,8 +208,8 @@
     CHECK_FALSE(find(directory, "b"));
 }
 
-// Guards against the revision of an earlier era that is taken for one of the era being listed: the balancer then watches
-// from a revision that the store does not have, and refuses newer entries.
+// Guards against the revision of an earlier era that is taken for one of the era being listed: the balancer then
+// watches from a revision that the store does not have, and refuses newer entries.
 TEST_CASE("no state of an earlier era is newer than the first page of a listing")
 {
     PeerBalancers peers({ 1, 7720 });
@@ -226,3 +227,40 @@
     directory.endListing(45, start);
     CHECK_FALSE(peers.newerPeer(directory.versionBegun(), start));
 }
+
+// Guards against a peer that takes entries of the present era under the version of the one before, and misses changes.
+TEST_CASE("what peers may fetch does not change until the first listing of an era has ended")
+{
+    HostDirectory directory;
+    list(directory, { written("a", 50), written("b", 58, true) }, 60, start);
+    PublishedSnapshot snapshot;
+    snapshot.update(directory, start);
+    const std::string before = snapshot.encoded();
+    directory.beginEra(1, start);
+    directory.beginListing();
+    directory.apply(written("b", 40), start);
+    directory.apply(written("c", 41), start);
+    snapshot.update(directory, start);
+    CHECK(snapshot.encoded() == before);
+    directory.endListing(45, start);
+    snapshot.update(directory, start);
+    const auto after = decodeSnapshot(snapshot.encoded());
+    REQUIRE(after);
+    CHECK(after->version == StoreVersion { 1, 45 });
+    CHECK(after->changes.size() == 2);
+}
+
+// Guards against FLOW: a flow at a host that has started since the store came back counts as lost.
+TEST_CASE("not every host is known until the first listing of an era has ended")
+{
+    HostDirectory directory;
+    list(directory, { written("a", 50) }, 60, start);
+    CHECK(directory.isComplete());
+    directory.beginEra(1, start);
+    CHECK_FALSE(directory.isComplete());
+    directory.beginListing();
+    directory.apply(written("a", 40), start);
+    CHECK_FALSE(directory.isComplete());
+    directory.endListing(45, start);
+    CHECK(directory.isComplete());
+}
