A false revision is corrected, and listings that follow each other have a back-off

Cause: nothing compared the revision that an answer of the store states with the one known. With a false revision known, a watch got 410, the listing after it was refused entry by entry as late, and the next watch got 410 again, at once: only failed calls had a back-off. Change: a lower revision than the one known when the call began, or a listed entry older than the one known, begins a correction, which works like a new era. StoreVersion is ordered by era, correction and revision, so that peers and agents follow the corrected state. A listing that follows another without a successful watch in between is delayed by 0.1 s to 1 s. Each reader also lists the store every 5 minutes, which finds a false revision that was passed meanwhile.

--- a/src/app/DirectorySnapshot.cpp
+++ b/src/app/DirectorySnapshot.cpp
@@ -69,6 +69,7 @@
     wire::DirectorySnapshot snapshot;
     snapshot.set_revision(directory.version().revision);
     snapshot.set_era(directory.version().era);
+    snapshot.set_correction(directory.version().correction);
     snapshot.set_configuration_version(directory.routes().version);
     snapshot.set_idle_timeout_ms(static_cast<std::uint32_t>(directory.routes().idleTimeout.count()));
     for (const auto& [address, route] : directory.routes().routes) {
@@ -119,7 +120,7 @@
         return std::nullopt;
     }
     DirectorySnapshot result;
-    result.version = { snapshot.era(), snapshot.revision() };
+    result.version = { snapshot.era(), snapshot.revision(), snapshot.correction() };
     result.incomplete = snapshot.incomplete();
     if (snapshot.configuration_version() > 0) {
         result.changes.emplace_back(RouteTableWritten { readRoutes(snapshot) });
--- a/src/app/SteeringMessages.cpp
+++ b/src/app/SteeringMessages.cpp
@@ -159,6 +159,7 @@
     hello.set_lifetime(message.state.incarnation);
     hello.set_revision(message.state.version.revision);
     hello.set_era(message.state.version.era);
+    hello.set_correction(message.state.version.correction);
     hello.set_store_available(message.state.storeAvailable);
     hello.mutable_balancers()->Add(message.balancers.begin(), message.balancers.end());
     std::size_t zoneBytes = 0;
@@ -201,7 +202,8 @@
     }
     if (this->header->has_hello()) {
         const wire::BalancerHello& hello = this->header->hello();
-        return HelloMessage { { hello.lifetime(), { hello.era(), hello.revision() }, hello.store_available() },
+        return HelloMessage { { hello.lifetime(), { hello.era(), hello.revision(), hello.correction() },
+                                  hello.store_available() },
             { hello.balancers().begin(), hello.balancers().end() },
             { hello.evacuated_zones().begin(), hello.evacuated_zones().end() } };
     }
--- a/src/app/StoreReader.cpp
+++ b/src/app/StoreReader.cpp
@@ -29,6 +29,10 @@
 // within 3 s.
 constexpr milliseconds batchingDelay { 150 };
 
+// A watch reports changes only. A listing at this interval shows what no watch reports, such as the entries that a
+// false revision has hidden once the store's revisions have passed it.
+constexpr std::chrono::minutes routineListingInterval { 5 };
+
 constexpr milliseconds initialBackoff { 100 };
 constexpr milliseconds maximumBackoff { 1000 };
 
@@ -123,10 +127,9 @@
         this->metrics.refusals("fetch from peer", "older_version").Increment();
         return;
     }
-    if (snapshot->version.era > this->directory.storeEra()) {
-        this->directory.beginEra(snapshot->version.era, now);
+    if (this->directory.follow(snapshot->version, now)) {
         this->logEra();
-        // A watch that waits began at a revision of the earlier era.
+        // A watch that waits began at a revision of the earlier era, or at a false one.
         this->exchange.reset();
         this->nextCall = now;
     }
@@ -157,6 +160,16 @@
 
 void StoreReader::startCall(TimePoint now)
 {
+    if (!this->listing) {
+        if (this->nextRoutineListing && now >= *this->nextRoutineListing) {
+            this->nextRoutineListing.reset();
+            this->startListing(now);
+        } else if (!this->nextRoutineListing) {
+            this->nextRoutineListing = now + routineListingInterval;
+        }
+    }
+    this->callStart = now;
+    this->callRevision = this->directory.revision();
     const std::string target = this->listing ? platform::listTarget(this->listAfter)
                                              : platform::watchTarget(this->directory.revision(), watchWait);
     this->exchangeDeadline = now + callTimeout + (this->listing ? milliseconds(0) : watchWait);
@@ -175,10 +188,14 @@
                 { "revision", static_cast<std::int64_t>(this->directory.revision()) },
                 { "configuration", static_cast<std::int64_t>(this->directory.routes().version) } });
     }
-    this->backoff = std::clamp(this->backoff * 2, initialBackoff, maximumBackoff);
-    // The jitter spreads the calls of many processes when the store becomes available again.
-    const auto jitter = std::uniform_int_distribution<std::int64_t>(0, this->backoff.count() / 2)(this->random);
-    this->nextCall = now + this->backoff / 2 + milliseconds(jitter);
+    this->nextCall = now + this->drawBackoff(this->backoff);
+}
+
+milliseconds StoreReader::drawBackoff(milliseconds& delay)
+{
+    delay = std::clamp(delay * 2, initialBackoff, maximumBackoff);
+    const auto jitter = std::uniform_int_distribution<std::int64_t>(0, delay.count() / 2)(this->random);
+    return delay / 2 + milliseconds(jitter);
 }
 
 void StoreReader::handleSuccess(TimePoint now)
@@ -197,7 +214,18 @@
 {
     this->listing = true;
     this->listAfter.clear();
-    this->nextCall = now;
+    this->nextCall = now + this->listingDelay;
+    this->listingDelay = this->drawBackoff(this->listingBackoff);
+}
+
+void StoreReader::beginCorrection(std::uint64_t statedRevision, TimePoint now)
+{
+    this->metrics.events("store_correction").Increment();
+    this->log.log(EventLog::Importance::Notable, "store_revision_corrected",
+        { { "revision", static_cast<std::int64_t>(this->callRevision) },
+            { "stated_revision", static_cast<std::int64_t>(statedRevision) },
+            { "era", static_cast<std::int64_t>(this->directory.storeEra()) } });
+    this->directory.beginCorrection(now);
 }
 
 void StoreReader::logEra()
@@ -205,6 +233,7 @@
     this->metrics.events("store_era").Increment();
     this->log.log(EventLog::Importance::Notable, "store_era",
         { { "era", static_cast<std::int64_t>(this->directory.storeEra()) },
+            { "correction", static_cast<std::int64_t>(this->directory.versionBegun().correction) },
             { "configuration", static_cast<std::int64_t>(this->directory.routes().version) } });
 }
 
@@ -337,9 +366,10 @@
         { { "zones", zones }, { "revision", static_cast<std::int64_t>(revision) } });
 }
 
-void StoreReader::apply(const std::vector<DirectoryChange>& changes, std::uint64_t revision, TimePoint now)
+bool StoreReader::apply(const std::vector<DirectoryChange>& changes, std::uint64_t revision, TimePoint now)
 {
     bool changed = false;
+    bool hasOlder = false;
     for (const DirectoryChange& change : changes) {
         const auto effect = this->directory.apply(change, now);
         if (effect != HostDirectory::Effect::RefusedMalformed) {
@@ -354,11 +384,15 @@
         }
         changed = changed || effect == HostDirectory::Effect::HostsChanged
             || effect == HostDirectory::Effect::RoutesChanged || effect == HostDirectory::Effect::EvacuationChanged;
+        // The configuration is ordered by its version.
+        hasOlder = hasOlder
+            || (effect == HostDirectory::Effect::RefusedOlder && !std::holds_alternative<RouteTableWritten>(change));
         this->logEffect(change, effect, revision);
     }
     if (changed) {
         this->onChange();
     }
+    return hasOlder;
 }
 
 void StoreReader::endListing(std::uint64_t revision, TimePoint now)
@@ -380,12 +414,24 @@
         if (this->answerEra > this->directory.storeEra()) {
             this->directory.beginEra(this->answerEra, now);
             this->logEra();
+        } else if (answer.revision < this->callRevision) {
+            this->beginCorrection(answer.revision, now);
         }
         this->directory.beginListing();
     }
-    this->apply(answer.changes, answer.revision, now);
+    const bool hasOlder = this->apply(answer.changes, answer.revision, now);
     this->listAfter = answer.nextAfter;
     this->handleSuccess(now);
+    if (hasOlder) {
+        // The answer is newer than everything that was known when the call was made, so that what is known is false.
+        this->beginCorrection(answer.revision, now);
+        this->startListing(now);
+        return;
+    }
+    if (answer.revision < this->listRevision) {
+        this->startListing(now); // the store has gone back between two pages
+        return;
+    }
     if (!this->listAfter.empty()) {
         return;
     }
@@ -405,11 +451,20 @@
 
 void StoreReader::applyEvents(const platform::StoreAnswer& answer, TimePoint now)
 {
+    if (answer.revision < this->callRevision) {
+        this->handleSuccess(now);
+        this->beginCorrection(answer.revision, now);
+        this->startListing(now);
+        return;
+    }
     // The answer may be late: a peer's newer state may have been taken meanwhile. The directory refuses what is older.
     this->apply(answer.changes, answer.revision, now);
     this->directory.advanceTo(answer.revision);
     this->handleSuccess(now);
-    this->nextCall = answer.changes.empty() ? now : now + batchingDelay;
+    this->listingBackoff = milliseconds(0);
+    this->listingDelay = milliseconds(0);
+    // A watch may be answered before its wait has passed, though nothing has changed.
+    this->nextCall = answer.changes.empty() ? std::max(now, this->callStart + batchingDelay) : now + batchingDelay;
 }
 
 }
--- a/src/app/StoreReader.h
+++ b/src/app/StoreReader.h
@@ -49,7 +49,6 @@
     void fetchFrom(const Endpoint& peer, TimePoint now);
     bool isFetching() const { return this->fetch != nullptr; }
 
-
     // Whether the last store call succeeded; false until the first success.
     bool available() const { return this->answered && !this->unavailable; }
 
@@ -62,11 +61,14 @@
     void onFetched(const HttpExchange::Result&);
     // Handles the era that an answer states, if it states one. Returns whether the answer can be used.
     bool acceptEra(std::optional<std::uint64_t> stated, TimePoint now);
+    // Begins a listing. Another one that follows without a successful watch in between is delayed.
     void startListing(TimePoint now);
+    void beginCorrection(std::uint64_t statedRevision, TimePoint now);
     void endListing(std::uint64_t revision, TimePoint now);
     void applyListing(const platform::StoreAnswer&, TimePoint now);
     void applyEvents(const platform::StoreAnswer&, TimePoint now);
-    void apply(const std::vector<DirectoryChange>&, std::uint64_t revision, TimePoint now);
+    // Returns whether an entry of a host or a zone is older than the one known.
+    bool apply(const std::vector<DirectoryChange>&, std::uint64_t revision, TimePoint now);
     void logEffect(const DirectoryChange&, HostDirectory::Effect, std::uint64_t revision);
     void logRefusedEntry(const DirectoryChange&, std::uint64_t revision);
     void logHostWritten(const HostEntry&, std::uint64_t revision);
@@ -76,6 +78,9 @@
     void handleFetchFailure(const std::string& step, const std::string& reason);
     void handleFailure(const std::string& step, const std::string& reason, TimePoint now);
     void handleSuccess(TimePoint now);
+    // Doubles a delay within the bounds of a back-off and returns a random time between half and all of it. The jitter
+    // spreads the calls of many processes.
+    std::chrono::milliseconds drawBackoff(std::chrono::milliseconds& delay);
 
     Endpoint store;
     EventLoop& loop;
@@ -95,6 +100,8 @@
     bool reading { true };
     bool answered { false };
     TimePoint exchangeDeadline; // of the store call in progress
+    TimePoint callStart; // of the last store call
+    std::uint64_t callRevision { 0 }; // revision that was known at that time
     TimePoint nextCall;
     bool listing { true };
     std::string listAfter;
@@ -103,6 +110,9 @@
     std::uint64_t answerEra { 0 }; // of the answer that is being handled
     bool unavailable { false };
     std::chrono::milliseconds backoff { 0 };
+    std::chrono::milliseconds listingBackoff { 0 };
+    std::chrono::milliseconds listingDelay { 0 }; // of the next listing, unless a watch succeeds first
+    std::optional<TimePoint> nextRoutineListing; // unset until the first watch
 };
 
 }
--- a/src/state/HostDirectory.cpp
+++ b/src/state/HostDirectory.cpp
@@ -73,9 +73,27 @@
     }
 }
 
-void HostDirectory::beginEra(std::uint64_t nextEra, TimePoint now)
+void HostDirectory::beginEra(std::uint64_t nextEra, TimePoint now) { this->begin(nextEra, 0, now); }
+
+void HostDirectory::beginCorrection(TimePoint now)
+{
+    this->begin(this->era, this->correction + 1, now);
+    this->completeVersion = this->versionBegun();
+}
+
+bool HostDirectory::follow(const StoreVersion& version, TimePoint now)
+{
+    if (StoreVersion { version.era, 0, version.correction } <= StoreVersion { this->era, 0, this->correction }) {
+        return false;
+    }
+    this->begin(version.era, version.correction, now);
+    return true;
+}
+
+void HostDirectory::begin(std::uint64_t nextEra, std::uint64_t nextCorrection, TimePoint now)
 {
     this->era = nextEra;
+    this->correction = nextCorrection;
     this->knownRevision = 0;
     this->eraSince = now;
     this->complete = false; // hosts that have started since may be unknown
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -67,7 +67,10 @@
     // The last version of the store that is known completely or, while the first listing of an era is in progress, the
     // beginning of that era. A peer's state is newer only if its version is above this one: the revisions of an earlier
     // era say nothing about those of the present one.
-    StoreVersion versionBegun() const { return std::max(this->completeVersion, StoreVersion { this->era, 0 }); }
+    StoreVersion versionBegun() const
+    {
+        return std::max(this->completeVersion, StoreVersion { this->era, 0, this->correction });
+    }
 
     // Whether the store has been listed once, so that hosts and evacuated zones are known.
     bool isListed() const { return this->completeVersion.revision > 0; }
@@ -78,11 +81,18 @@
     // EvacuatedZones::eraRetention, and the configuration never goes back.
     void beginEra(std::uint64_t era, TimePoint now);
 
+    // The store has shown that a revision known here is false: one of its answers states a lower one. Goes on as with a
+    // new era. Until the listing that has to follow has ended, this process has no version to offer to peers.
+    void beginCorrection(TimePoint now);
+
+    // Begins the era or correction of a peer's state if it is a later one. Returns whether it is.
+    bool follow(const StoreVersion&, TimePoint now);
+
     // Records that all changes up to the revision have been applied.
     void advanceTo(std::uint64_t revision)
     {
         this->knownRevision = std::max(this->knownRevision, revision);
-        this->completeVersion = { this->era, this->knownRevision };
+        this->completeVersion = { this->era, this->knownRevision, this->correction };
     }
 
     // Delimit a full listing of the store or of a peer's directory, which has all changes up to `revision`: hosts
@@ -136,6 +146,7 @@
     static constexpr std::chrono::milliseconds goneHostRetention { 60000 };
 
 private:
+    void begin(std::uint64_t nextEra, std::uint64_t nextCorrection, TimePoint now);
     Effect applyHost(const HostWritten&, TimePoint now);
     Effect applyRemoval(const HostRemoved&, TimePoint now);
     // Begins or ends the retention of what an earlier era said of a host whose entry is read. Returns whether it has
@@ -158,9 +169,10 @@
     std::map<std::string, KnownHost> known;
     EvacuatedZones evacuations;
     std::uint64_t era { 0 };
+    std::uint64_t correction { 0 }; // within the era
     StoreVersion completeVersion;
     std::uint64_t knownRevision { 0 };
-    std::optional<TimePoint> eraSince; // when the present era was seen first; unset in the first one
+    std::optional<TimePoint> eraSince; // when the present era or correction began; unset in the first era
     std::map<std::string, TimePoint> goneHosts; // hosts whose removal a copy of the store may have forgotten
     bool isListing { false };
     std::set<std::string> listed;
--- a/src/state/PeerBalancers.cpp
+++ b/src/state/PeerBalancers.cpp
@@ -112,7 +112,9 @@
     std::optional<Endpoint> newest;
     StoreVersion newestVersion = version;
     for (const auto& [address, peer] : this->peers) {
-        if (this->isLive(peer, now) && now >= peer.noFetchBefore && peer.state.version > newestVersion) {
+        // A peer has no state to offer while it lists the store after a correction.
+        const bool hasState = peer.state.version.revision > 0;
+        if (this->isLive(peer, now) && now >= peer.noFetchBefore && hasState && peer.state.version > newestVersion) {
             newest = address;
             newestVersion = peer.state.version;
         }
--- a/test/integration/NodeProcessesTest.cpp
+++ b/test/integration/NodeProcessesTest.cpp
@@ -269,6 +269,9 @@
     std::unique_ptr<ChildProcess> peer;
 };
 
+// While a watch fails, a listing and a watch follow each other at intervals that grow from 0.1 s to 1 s.
+constexpr std::size_t maximumCallsPerSecond = 8;
+
 bool isReset(const Bytes& packet) { return packet.size() == headerBytes && packet[flagsOffset] == flagReset; }
 
 }
@@ -521,6 +524,42 @@
     CHECK(SmallFleet::receive(fleet.hostSocket, milliseconds(100)).empty());
 }
 
+// Guards against a balancer that refuses everything that the store says until its revisions have passed a false one, and
+// that meanwhile calls it without a pause.
+TEST_CASE("a balancer recovers from a false revision, with few calls to the store [DRAIN]")
+{
+    SmallFleet fleet;
+    fleet.store.keepCopy();
+    for (int change = 0; change < 8; ++change) {
+        fleet.store.write("servers/i-1", fleet.hostValue("ready", 100 * change));
+    }
+    CHECK(fleet.balancerLogs("host_changed", "revision", 10));
+    // The store goes back without saying so, which makes the balancer's revision false.
+    fleet.store.restoreCopy(false);
+    const std::size_t before = fleet.store.calls();
+    fleet.store.write("servers/i-1", fleet.hostValue("draining", 0));
+    CHECK(fleet.balancerLogs("host_changed", "state", "draining"));
+    CHECK(isReset(fleet.answerToFirstPacket(fleet.service)));
+    CHECK(SmallFleet::receive(fleet.hostSocket, milliseconds(100)).empty());
+    usleep(3000000);
+    CHECK(fleet.store.calls() - before <= maximumCallsPerSecond * 3);
+}
+
+// Guards against a listing that follows each failed watch at once.
+TEST_CASE("a store that has no history is called at a bounded rate [cost]")
+{
+    SmallFleet fleet;
+    fleet.store.setForgettingHistory(true);
+    const std::size_t before = fleet.store.calls();
+    usleep(5000000);
+    CHECK(fleet.store.calls() - before <= maximumCallsPerSecond * 5);
+    // Changes are followed by listings in the meantime.
+    fleet.writeConfiguration(7, 2, R"("service":"job")");
+    CHECK(fleet.balancerLogs("configuration_in_force", "configuration", 7));
+    fleet.store.setForgettingHistory(false);
+    fleet.checkServed(2);
+}
+
 TEST_CASE("a weighted route is served, and a service without a host leaves its share to the others [CONFIG]")
 {
     SmallFleet fleet;
--- a/test/unit/StoreEraTest.cpp
+++ b/test/unit/StoreEraTest.cpp
@@ -264,3 +264,45 @@
     directory.endListing(45, start);
     CHECK(directory.isComplete());
 }
+
+// Guards against a false revision, for example one of an earlier era, that hides every change until the store's
+// revisions have passed it.
+TEST_CASE("after a correction the store's lower revisions are followed, and peers follow them, too")
+{
+    HostDirectory reader;
+    HostDirectory other;
+    for (HostDirectory* directory : { &reader, &other }) {
+        directory->beginEra(1, start);
+        list(*directory, { written("a", 450), written("b", 460) }, 500, start);
+    }
+    reader.beginCorrection(start);
+    CHECK(reader.version() == StoreVersion { 1, 0, 1 });
+    CHECK_FALSE(reader.isListed()); // nothing to offer to peers
+    CHECK(find(reader, "a")); // stays in force
+    list(reader, { written("a", 60, true) }, 85, start);
+    CHECK(find(reader, "a")->isDraining());
+    CHECK(reader.version() > other.version());
+    CHECK(reader.apply(written("c", 86), start) == HostDirectory::Effect::HostsChanged);
+    reader.advanceTo(86);
+
+    PeerBalancers peers({ 1, 7720 });
+    peers.recordHello({ 2, 7720 }, { 1, { 1, 0, 1 }, true }, start);
+    CHECK_FALSE(peers.newerPeer(other.versionBegun(), start));
+    peers.recordHello({ 2, 7720 }, { 1, reader.version(), true }, start);
+    REQUIRE(peers.newerPeer(other.versionBegun(), start));
+    const auto snapshot = decodeSnapshot(encodeSnapshot(reader, start));
+    REQUIRE(snapshot);
+    CHECK(snapshot->version == StoreVersion { 1, 86, 1 });
+    CHECK(other.follow(snapshot->version, start));
+    CHECK_FALSE(other.follow(snapshot->version, start));
+    list(other, snapshot->changes, snapshot->version.revision, start);
+    CHECK(other.version() == reader.version());
+    CHECK(find(other, "a")->isDraining());
+    CHECK(find(other, "c"));
+    other.expire(start + HostDirectory::missingHostTimeout);
+    CHECK_FALSE(find(other, "b"));
+
+    // A later era begins without a correction.
+    CHECK(other.follow({ 2, 10 }, start));
+    CHECK(other.versionBegun() == StoreVersion { 2, 0 });
+}
