No open flow counts as lost while a peer knows a newer state of the store

A flow at a host that it has not heard of yet was reset as not_found when each of its agents had denied it. Change: the directory is current only if no live peer has announced a newer version, also one from which a fetch has failed. OwnerSearches resets a flow only then. Tests: FlowSteeringSearchTest "an open flow that no agent has is reset", subcase "a peer knows a newer state ...", fails without the change in OwnerSearches; PeerBalancerDirectoryTest "the newest version ...".

--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -111,6 +111,7 @@
 void BalancerNode::synchronizeWithPeers(TimePoint now)
 {
     this->reader.setReading(this->peers.isReader(now) || !this->directory.hasRoutes() || !this->directory.isListed());
+    this->directory.setBehind(this->peers.newestVersion(now) > this->directory.versionBegun());
     if (this->reader.isFetching()) {
         return;
     }
@@ -204,7 +205,7 @@
     this->log.log(EventLog::Importance::Routine, "flow_searched",
         { { "flow", formatFlow(question.query.flow) }, { "stage", static_cast<int>(question.stage) + 1 },
             { "agents", static_cast<std::int64_t>(question.agents.size()) },
-            { "hosts_complete", this->directory.isComplete() ? 1 : 0 } });
+            { "hosts_complete", this->directory.isCurrent() ? 1 : 0 } });
 }
 
 void BalancerNode::logFailedSearch(const ReportFailedSearch& search)
@@ -212,7 +213,7 @@
     this->metrics.refusals("search flow", std::string(search.reason)).Increment();
     this->log.log(EventLog::Importance::Notable, "search_failed",
         { { "flow", formatFlow(search.flow) }, { "reason", search.reason },
-            { "hosts_complete", this->directory.isComplete() ? 1 : 0 } });
+            { "hosts_complete", this->directory.isCurrent() ? 1 : 0 } });
 }
 
 void BalancerNode::sendReset(const SendReset& action)
--- a/src/coordination/OwnerSearches.cpp
+++ b/src/coordination/OwnerSearches.cpp
@@ -188,7 +188,7 @@
     const FlowKey key = search->first;
     // The flow may be at a host that this process has not read yet.
     const auto agents = this->placement.agents();
-    if (this->directory.isComplete() && !agents.empty() && search->second.agents.isAbsentFrom(agents)) {
+    if (this->directory.isCurrent() && !agents.empty() && search->second.agents.isAbsentFrom(agents)) {
         // Without the reset, the caller would wait for an answer until its deadline.
         actions.emplace_back(SendReset { key, search->second.acknowledgement.value_or(0), "not_found" });
     } else {
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -108,6 +108,13 @@
     // Whether every running host is known: the whole store has been read in the present era, and no host is missing.
     bool isComplete() const;
 
+    // Sets whether a peer has announced a newer state of the store.
+    void setBehind(bool isBehind) { this->behind = isBehind; }
+
+    // Whether every running host that any balancer knows is known here. Only then does the absence of a flow from all
+    // known hosts show that it is lost.
+    bool isCurrent() const { return this->isComplete() && !this->behind; }
+
     // Records that the last listing was a peer's and left out hosts that are missing there. After missingHostTimeout
     // these have written their entries again or are gone.
     void markIncomplete(TimePoint now) { this->incompleteSince = now; }
@@ -178,6 +185,7 @@
     std::set<std::string> listed;
     bool complete { false };
     std::optional<TimePoint> incompleteSince;
+    bool behind { false };
 };
 
 }
--- a/src/state/PeerBalancers.cpp
+++ b/src/state/PeerBalancers.cpp
@@ -107,6 +107,17 @@
     return static_cast<std::size_t>(before) < maximumReaders;
 }
 
+StoreVersion PeerBalancers::newestVersion(TimePoint now) const
+{
+    StoreVersion newest;
+    for (const auto& [address, peer] : this->peers) {
+        if (this->isLive(peer, now)) {
+            newest = std::max(newest, peer.state.version);
+        }
+    }
+    return newest;
+}
+
 std::optional<Endpoint> PeerBalancers::newerPeer(const StoreVersion& version, TimePoint now) const
 {
     std::optional<Endpoint> newest;
--- a/src/state/PeerBalancers.h
+++ b/src/state/PeerBalancers.h
@@ -55,6 +55,9 @@
     // recently.
     std::optional<Endpoint> newerPeer(const StoreVersion&, TimePoint now) const;
 
+    // The highest store version that a live peer has announced.
+    StoreVersion newestVersion(TimePoint now) const;
+
     // Number of balancers that read the store. Kept small because every call to the store costs money and the store
     // serves a limited number of calls; with three, two readers may fail at the same time.
     static constexpr std::size_t maximumReaders = 3;
--- a/test/unit/FlowSteeringSearchTest.cpp
+++ b/test/unit/FlowSteeringSearchTest.cpp
@@ -239,6 +239,18 @@
         balancer.receiveVerdict(agentOf(3), FlowVerdict::NotFound, milliseconds(3));
         CHECK(balancer.resets());
     }
+    SUBCASE("a peer knows a newer state of the store, which may have another host")
+    {
+        balancer.directory.setBehind(true);
+        balancer.receiveVerdict(agentOf(3), FlowVerdict::NotFound, milliseconds(3));
+        CHECK_FALSE(balancer.resets());
+        balancer.directory.setBehind(false);
+        balancer.sendLater(milliseconds(200));
+        for (const Endpoint& agent : agentsUpTo(3)) {
+            balancer.receiveVerdict(agent, FlowVerdict::NotFound, milliseconds(202));
+        }
+        CHECK(balancer.resets());
+    }
     SUBCASE("the last agent has the flow")
     {
         balancer.receiveVerdict(agentOf(3), FlowVerdict::Owned, milliseconds(3));
--- a/test/unit/PeerBalancerDirectoryTest.cpp
+++ b/test/unit/PeerBalancerDirectoryTest.cpp
@@ -91,3 +91,16 @@
     CHECK(std::get<HostWritten>(snapshot->changes[1]).entry == entry);
     CHECK_FALSE(decodeSnapshot("\xff\xff\xff"));
 }
+
+// Guards against a balancer that takes its hosts for all hosts, although a peer from which it cannot fetch knows more.
+TEST_CASE("the newest version is that of any live peer, also of one from which a fetch has failed")
+{
+    PeerBalancers peers(balancer(1));
+    CHECK(peers.newestVersion(start) == StoreVersion {});
+    peers.recordHello(balancer(2), { 1, { 0, 50 }, true }, start);
+    peers.recordHello(balancer(3), { 1, { 0, 60 }, true }, start);
+    peers.fetchFailed(balancer(3), start);
+    CHECK(peers.newerPeer({ 0, 40 }, start) == balancer(2));
+    CHECK(peers.newestVersion(start) == StoreVersion { 0, 60 });
+    CHECK(peers.newestVersion(start + seconds(2)) == StoreVersion {}); // neither is live
+}
