The first reader's watches wait for 1 s

Balancers that reach the store sent flows to a draining host for up to 3.5 s after its report (bound 3.0 s) while the three readers were partitioned from the store. Cause: others begin to read when a reader's call fails. A silent watch fails after 2.5 s and a time-out of 1.0 s, and after a change all readers begin their watches together. Change: the first of the readers waits for 1.0 s, so that it notices within 2.0 s and the next balancer reads 0.25 s later at the latest. The others keep their wait, since calls cost money. Tests: NodeProcessesTest "the first reader notices ..." failed before; PeerBalancerDirectoryTest "exactly one of the readers ...".

--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -111,6 +111,7 @@
 void BalancerNode::synchronizeWithPeers(TimePoint now)
 {
     this->reader.setReading(this->peers.isReader(now) || !this->directory.hasRoutes() || !this->directory.isListed());
+    this->reader.setFirstReader(this->peers.isFirstReader(now));
     this->directory.setBehind(this->peers.newestVersion(now) > this->directory.versionBegun());
     if (this->reader.isFetching()) {
         return;
--- a/src/app/StoreReader.cpp
+++ b/src/app/StoreReader.cpp
@@ -25,6 +25,11 @@
 // Machines count as connected again 4 s after such a fault and must by then have the changes made before.
 constexpr milliseconds watchWait { 2500 };
 
+// The wait of the first reader. If all readers are partitioned from the store at the same time, other balancers begin
+// to read it when the first reader's call has failed, at most this plus callTimeout plus the interval of hellos later,
+// and have the changes within 3 s. One reader with shorter waits costs fewer calls than all of them.
+constexpr milliseconds firstReaderWatchWait { 1000 };
+
 // Delay of the next watch after a change, so that several changes are read with one call. Changes must be in force
 // within 3 s.
 constexpr milliseconds batchingDelay { 150 };
@@ -170,9 +175,10 @@
     }
     this->callStart = now;
     this->callRevision = this->directory.revision();
+    const milliseconds wait = this->firstReader ? firstReaderWatchWait : watchWait;
     const std::string target = this->listing ? platform::listTarget(this->listAfter)
-                                             : platform::watchTarget(this->directory.revision(), watchWait);
-    this->exchangeDeadline = now + callTimeout + (this->listing ? milliseconds(0) : watchWait);
+                                             : platform::watchTarget(this->directory.revision(), wait);
+    this->exchangeDeadline = now + callTimeout + (this->listing ? milliseconds(0) : wait);
     this->metrics.events("store_call").Increment();
     this->exchange = std::make_unique<HttpExchange>(this->loop, this->store, target, maximumAnswerBytes,
         [this](const HttpExchange::Result& result) { this->onResult(result); });
--- a/src/app/StoreReader.h
+++ b/src/app/StoreReader.h
@@ -45,6 +45,9 @@
     // Sets whether this process calls the store. Disabling does not abort a call in progress.
     void setReading(bool enabled) { this->reading = enabled; }
 
+    // Sets whether this process is the first of the readers, whose watches wait for a shorter time.
+    void setFirstReader(bool first) { this->firstReader = first; }
+
     // Fetches the complete directory from a peer with a newer revision. Calls onFetchFailed on failure.
     void fetchFrom(const Endpoint& peer, TimePoint now);
     bool isFetching() const { return this->fetch != nullptr; }
@@ -98,6 +101,7 @@
     Endpoint fetchPeer;
     TimePoint fetchDeadline;
     bool reading { true };
+    bool firstReader { false };
     bool answered { false };
     TimePoint exchangeDeadline; // of the store call in progress
     TimePoint callStart; // of the last store call
--- a/src/state/PeerBalancers.cpp
+++ b/src/state/PeerBalancers.cpp
@@ -98,13 +98,13 @@
     return addresses;
 }
 
-bool PeerBalancers::isReader(TimePoint now) const
+std::size_t PeerBalancers::readersBefore(TimePoint now) const
 {
     const std::uint64_t own = readerRank(this->self);
     const auto before = std::count_if(this->peers.begin(), this->peers.end(), [&](const auto& item) {
         return this->isLive(item.second, now) && item.second.state.storeAvailable && readerRank(item.first) < own;
     });
-    return static_cast<std::size_t>(before) < maximumReaders;
+    return static_cast<std::size_t>(before);
 }
 
 StoreVersion PeerBalancers::newestVersion(TimePoint now) const
--- a/test/integration/NodeProcessesTest.cpp
+++ b/test/integration/NodeProcessesTest.cpp
@@ -524,8 +524,8 @@
     CHECK(SmallFleet::receive(fleet.hostSocket, milliseconds(100)).empty());
 }
 
-// Guards against a balancer that refuses everything that the store says until its revisions have passed a false one, and
-// that meanwhile calls it without a pause.
+// Guards against a balancer that refuses everything that the store says until its revisions have passed a false one,
+// and that meanwhile calls it without a pause.
 TEST_CASE("a balancer recovers from a false revision, with few calls to the store [DRAIN]")
 {
     SmallFleet fleet;
@@ -560,6 +560,19 @@
     fleet.checkServed(2);
 }
 
+// Guards against a fleet whose readers are all partitioned from the store, and whose other balancers begin to read it
+// only after changes must have been in force.
+TEST_CASE("the first reader notices a partition from the store before changes must be in force [DRAIN, CONFIG]")
+{
+    SmallFleet fleet;
+    fleet.store.write("servers/i-1", fleet.hostValue("ready", 100));
+    CHECK(fleet.balancerLogs("host_changed", "revision", 3));
+    usleep(200000); // the next watch has begun
+    fleet.store.setHoldingWatches(true);
+    CHECK_NOTHROW(fleet.balancer->waitForEvent("store_lost", seconds(3)));
+    fleet.store.setHoldingWatches(false);
+}
+
 TEST_CASE("a weighted route is served, and a service without a host leaves its share to the others [CONFIG]")
 {
     SmallFleet fleet;
--- a/test/unit/PeerBalancerDirectoryTest.cpp
+++ b/test/unit/PeerBalancerDirectoryTest.cpp
@@ -104,3 +104,29 @@
     CHECK(peers.newestVersion(start) == StoreVersion { 0, 60 });
     CHECK(peers.newestVersion(start + seconds(2)) == StoreVersion {}); // neither is live
 }
+
+// Guards against a fleet without a reader that notices a partition early, and against several, as each costs calls.
+TEST_CASE("exactly one of the readers that reach the store is the first")
+{
+    constexpr std::uint32_t count = 6;
+    const auto firstOf = [&](const std::vector<std::uint32_t>& failing) {
+        std::vector<std::uint32_t> first;
+        for (std::uint32_t self = 1; self <= count; ++self) {
+            PeerBalancers peers(balancer(self));
+            for (std::uint32_t peer = 1; peer <= count; ++peer) {
+                const bool available = std::find(failing.begin(), failing.end(), peer) == failing.end();
+                peers.recordHello(balancer(peer), { 1, { 0, 50 }, available }, start);
+            }
+            const bool fails = std::find(failing.begin(), failing.end(), self) != failing.end();
+            if (!fails && peers.isFirstReader(start)) {
+                first.push_back(self);
+            }
+        }
+        return first;
+    };
+    const auto first = firstOf({});
+    REQUIRE(first.size() == 1);
+    const auto second = firstOf(first);
+    REQUIRE(second.size() == 1);
+    CHECK(second != first);
+}
