--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -110,13 +110,16 @@
 
 void BalancerNode::synchronizeWithPeers(TimePoint now)
 {
-    this->reader.setReading(this->peers.isReader(now) || !this->directory.hasRoutes() || !this->directory.isListed());
-    this->reader.setFirstReader(this->peers.isFirstReader(now));
-    this->directory.setBehind(this->peers.newestVersion(now) > this->directory.versionBegun());
+    const std::size_t readersBefore = this->peers.readersBefore(now);
+    const bool isReader = readersBefore < PeerBalancers::maximumReaders;
+    this->reader.setReading(isReader || !this->directory.hasRoutes() || !this->directory.isListed());
+    this->reader.setFirstReader(readersBefore == 0);
+    const bool behind = this->peers.newestVersion(now) > this->directory.versionBegun();
+    this->directory.setBehind(behind);
     if (this->reader.isFetching()) {
         return;
     }
-    const auto peer = this->peers.newerPeer(this->directory.versionBegun(), now);
+    const auto peer = behind ? this->peers.newerPeer(this->directory.versionBegun(), now) : std::nullopt;
     if (!peer) {
         this->behindSince.reset();
         return;
@@ -125,7 +128,7 @@
         this->behindSince = now;
     }
     // A process that reads the store gets changes from it, unless its calls fail or hang.
-    const bool readsItself = this->reader.available() && this->peers.isReader(now);
+    const bool readsItself = this->reader.available() && isReader;
     if (!readsItself || now - *this->behindSince >= readerLagLimit) {
         this->reader.fetchFrom(*peer, now);
     }
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -81,8 +81,8 @@
     // EvacuatedZones::eraRetention, and the configuration never goes back.
     void beginEra(std::uint64_t era, TimePoint now);
 
-    // The store has shown that a revision known here is false: one of its answers states a lower one. Goes on as with a
-    // new era. Until the listing that has to follow has ended, this process has no version to offer to peers.
+    // An answer of the store has shown that a revision known here is false. Goes on as with a new era. Until the
+    // listing that has to follow has ended, this process has no version to offer to peers.
     void beginCorrection(TimePoint now);
 
     // Begins the era or correction of a peer's state if it is a later one. Returns whether it is.
--- a/src/state/PeerBalancers.h
+++ b/src/state/PeerBalancers.h
@@ -51,8 +51,8 @@
     // Whether this process reads the store. Only a few balancers do; the others fetch changes from them.
     bool isReader(TimePoint now) const { return this->readersBefore(now) < maximumReaders; }
 
-    // Whether this process is the first of the readers.
-    bool isFirstReader(TimePoint now) const { return this->readersBefore(now) == 0; }
+    // Number of live peers that reach the store and are before this process in the order of readers.
+    std::size_t readersBefore(TimePoint now) const;
 
     // Returns the live peer with the highest store version above the given one. Skips peers from which a fetch failed
     // recently.
@@ -75,8 +75,6 @@
     };
 
     bool isLive(const Peer&, TimePoint now) const;
-    // Number of live peers that reach the store and are before this process in the order of readers.
-    std::size_t readersBefore(TimePoint now) const;
 
     Endpoint self;
     std::vector<Endpoint> seeds;
--- a/test/unit/HostAdmissionTest.cpp
+++ b/test/unit/HostAdmissionTest.cpp
@@ -51,11 +51,7 @@
 
     void openFlow()
     {
-        this->offer();
-        this->fromHost([](FlowPacket& packet) {
-            packet.opens = true;
-            packet.sequence = hostSequence;
-        });
+        this->offerAnswered();
         this->fromCaller([](FlowPacket& packet) { packet.payload = bytes; });
     }
 
@@ -76,14 +72,20 @@
         this->admission.handleQuery(otherBalancer, { { caller, route }, acknowledgement }, start, this->actions);
     }
 
-    // Opens a flow whose caller has not sent a request yet.
-    void openFlowWithoutRequest()
+    // Offers a flow that the backend server accepts.
+    void offerAnswered()
     {
         this->offer();
         this->fromHost([](FlowPacket& packet) {
             packet.opens = true;
             packet.sequence = hostSequence;
         });
+    }
+
+    // Opens a flow whose caller has not sent a request yet.
+    void openFlowWithoutRequest()
+    {
+        this->offerAnswered();
         this->fromCaller([](FlowPacket&) {});
     }
 
@@ -470,11 +472,7 @@
 TEST_CASE("a flow that the backend server has answered is kept while it may repeat its answer")
 {
     Agent agent;
-    agent.offer();
-    agent.fromHost([](FlowPacket& packet) {
-        packet.opens = true;
-        packet.sequence = hostSequence;
-    });
+    agent.offerAnswered();
     agent.tickAfter(milliseconds(4500));
     CHECK(agent.admission.flowCount() == 1);
     agent.tickAfter(milliseconds(5500));
--- a/test/unit/PeerBalancerDirectoryTest.cpp
+++ b/test/unit/PeerBalancerDirectoryTest.cpp
@@ -118,7 +118,7 @@
                 peers.recordHello(balancer(peer), { 1, { 0, 50 }, available }, start);
             }
             const bool fails = std::find(failing.begin(), failing.end(), self) != failing.end();
-            if (!fails && peers.isFirstReader(start)) {
+            if (!fails && peers.readersBefore(start) == 0) {
                 first.push_back(self);
             }
         }
