--- a/review/standins-3/Fleet.cpp
+++ b/review/standins-3/Fleet.cpp
@@ -1091,6 +1091,10 @@
         this->balancers[index]->setSettings(
             this->settings(label, "front", this->balancerIp(index), this->storeIp(index), "", false));
     }
+    for (std::size_t index = 0; index < this->agents.size(); ++index) {
+        this->agents[index]->setSettings(this->settings(this->agents[index]->name(), "side", this->serverIp(index),
+            this->network + 200, this->servers[index]->serves(), false));
+    }
 }
 
 bool Deployment::waitUntilReady(Milliseconds limit)
--- a/review/standins-3/Fleet.h
+++ b/review/standins-3/Fleet.h
@@ -194,6 +194,7 @@
     const std::vector<Run>& runs() const { return this->ran; }
     std::size_t busy() const { return this->working; }
     const std::string& name() const { return this->id; }
+    const std::string& serves() const { return this->service; }
     // Whether the server has the end of the handshake of the flow.
     bool holdsOpen(const Address& consumer, const Address& route) const;
 
