--- a/review/standins-3/Fleet.cpp
+++ b/review/standins-3/Fleet.cpp
@@ -12,6 +12,7 @@
 #include <iostream>
 #include <poll.h>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -652,6 +653,7 @@
         giveUp("fork");
     }
     if (this->process == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL); // also if this driver is killed
         const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         dup2(output, 1);
         dup2(output, 2);
