Log: hosts whose entries have been missing for too long

No log line showed that a balancer had removed a host because its entry stayed missing, so that the loss of a running host could not be told from its end. host_expired names the host, the revision and the era.

--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -374,15 +374,26 @@
     this->lastWakeup = now;
 }
 
+void BalancerNode::expireHosts(TimePoint now)
+{
+    const bool changed = this->directory.expire(now);
+    for (const std::string& host : this->directory.takeExpiredHosts()) {
+        this->log.log(EventLog::Importance::Notable, "host_expired",
+            { { "host", host }, { "revision", static_cast<std::int64_t>(this->directory.revision()) },
+                { "era", static_cast<std::int64_t>(this->directory.storeEra()) } });
+    }
+    if (changed) {
+        this->onDirectoryChange();
+    }
+}
+
 void BalancerNode::tick(TimePoint now)
 {
     this->synchronizeWithPeers(now);
     this->reader.tick(now);
     if (now >= this->nextExpiry) {
         this->nextExpiry = now + expiryInterval;
-        if (this->directory.expire(now)) {
-            this->onDirectoryChange();
-        }
+        this->expireHosts(now);
     }
     if (now >= this->nextHello) {
         this->sendHellos(now);
--- a/src/app/BalancerNode.h
+++ b/src/app/BalancerNode.h
@@ -55,6 +55,7 @@
     void tick(TimePoint now);
     void sendHellos(TimePoint now);
     void logSelections();
+    void expireHosts(TimePoint now);
     void handleHello(const Endpoint& peer, const HelloMessage&, TimePoint now);
     void learnPeers(const std::vector<std::uint32_t>& addresses, TimePoint now);
     void synchronizeWithPeers(TimePoint now);
--- a/src/state/HostDirectory.cpp
+++ b/src/state/HostDirectory.cpp
@@ -266,6 +266,7 @@
             continue;
         }
         this->recordGone(item->first, now);
+        this->expiredHosts.push_back(item->first);
         item = this->known.erase(item);
         changed = true;
     }
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace chicoryferry {
@@ -125,6 +126,9 @@
     // than removedRouteRetention ago. Returns whether hosts or evacuated zones have changed.
     bool expire(TimePoint now);
 
+    // Returns the ids of the hosts that expire() has removed since the last call.
+    std::vector<std::string> takeExpiredHosts() { return std::exchange(this->expiredHosts, {}); }
+
     const RouteTable& routes() const { return this->table; }
     bool hasRoutes() const { return this->table.version > 0; }
 
@@ -185,6 +189,7 @@
     std::set<std::string> listed;
     bool complete { false };
     std::optional<TimePoint> incompleteSince;
+    std::vector<std::string> expiredHosts;
     bool behind { false };
 };
 
