A host that was missing before the store came back, and that the copy has, returns to use

Callers would see: open flows of a running host are reset. Cause: the entry of a running host lapses, the store comes back from a copy that has it, and the host has nothing to write again. Readers of the store themselves forgot it 2.2 s after the lapse and had it back only when it changed. When the store came back twice within 2.2 s, a host that both copies lack had 2.2 s since the first return. Change: such a host is out of use until hosts have had 2.2 s since the return, as before, and is then in use, since the store has its entry. A host without a known removal, which only a copy lacks, is in use again with any entry of the next era, and its time begins anew with each return of the store. Tests: StoreEraTest, "a host that has returned is not taken for gone ..." and "a store that comes back twice gives hosts the whole time after its last return" failed before (5 checks).

--- a/src/state/HostDirectory.cpp
+++ b/src/state/HostDirectory.cpp
@@ -36,13 +36,15 @@
     }
     const bool copied = this->isCopied(written.revision, now);
     const bool retained = this->retain(host, entry.id, !added && host.isDraining(), copied);
-    // A host that was missing before the store came back may have gone; the copy does not know it.
-    const bool returns = host.missingSince && !copied;
+    // A host whose entry was removed before the store came back may have gone; the copy does not know it.
+    const bool returns = host.missingSince && (!copied || host.forgotten);
+    host.restored = host.missingSince && !returns;
     const bool entryChanged = added || host.entry != entry;
     const bool changed = entryChanged || returns || retained;
     host.revision = written.revision;
     if (returns) {
         host.missingSince.reset();
+        host.forgotten = false;
     }
     if (entryChanged) {
         host.entry = entry;
@@ -112,6 +114,10 @@
     this->complete = false; // hosts that have started since may be unknown
     for (auto& [id, host] : this->known) {
         host.revision = 0;
+        host.restored = false;
+        if (host.missingSince && host.forgotten) {
+            host.missingSince = now; // running hosts write again after this return of the store, too
+        }
     }
     this->evacuations.beginEra(now);
 }
@@ -134,6 +140,8 @@
         this->known.erase(found);
         return Effect::HostsChanged;
     }
+    found->second.forgotten = false;
+    found->second.restored = false;
     // The entry of a running host can expire, for example while the store is down; the host then writes it again.
     if (!found->second.missingSince) {
         found->second.missingSince = now;
@@ -241,8 +249,10 @@
         this->known.erase(found);
         return true;
     }
+    host.restored = false;
     if (!host.missingSince) {
         host.missingSince = now;
+        host.forgotten = mayBeForgotten;
     }
     return false;
 }
@@ -283,6 +293,20 @@
         [&](const auto& item) { return item.second.coldRemaining(now).count() > 0; });
 }
 
+bool HostDirectory::keepRestored(KnownHost& host, TimePoint now) const
+{
+    if (!host.restored) {
+        return false;
+    }
+    host.missingSince.reset();
+    host.restored = false;
+    if (this->eraSince && now - *this->eraSince < missingHostTimeout) {
+        host.retainedUntil = *this->eraSince + missingHostTimeout;
+        host.retainedDraining = false;
+    }
+    return true;
+}
+
 bool HostDirectory::expire(TimePoint now)
 {
     std::erase_if(this->removedRoutes, [&](const auto& item) { return now - item.second > removedRouteRetention; });
@@ -302,10 +326,14 @@
             ++item;
             continue;
         }
+        changed = true;
+        if (this->keepRestored(host, now)) {
+            ++item;
+            continue;
+        }
         this->recordGone(item->first, now);
         this->expiredHosts.push_back(item->first);
         item = this->known.erase(item);
-        changed = true;
     }
     std::erase_if(this->goneHosts, [&](const auto& item) { return now - item.second > goneHostRetention; });
     return changed;
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -26,6 +26,11 @@
     std::chrono::steady_clock::time_point learnedAt; // when the entry last changed
     std::optional<std::chrono::steady_clock::time_point> missingSince; // set while the store has no usable entry
 
+    // While missing: no removal of the entry is known, only a listing of a later era that lacks it.
+    bool forgotten { false };
+    // While missing: the store has come back from a copy with the entry, which may have been removed after the copy.
+    bool restored { false };
+
     // While set: what an earlier era of the store said of the host, draining or gone, holds in place of the entry.
     std::optional<std::chrono::steady_clock::time_point> retainedUntil;
     bool retainedDraining { false }; // the host was draining; otherwise it was gone
@@ -127,8 +132,9 @@
 
     bool hasColdHost(TimePoint now) const;
 
-    // Removes hosts that have been missing for at least missingHostTimeout, and forgets routes that were removed more
-    // than removedRouteRetention ago. Returns whether hosts or evacuated zones have changed.
+    // Removes hosts that have been missing for at least missingHostTimeout. Those that the copy of a later era has are
+    // in use again once running hosts have had that time to write since the era began. Forgets routes that were removed
+    // more than removedRouteRetention ago. Returns whether hosts or evacuated zones have changed.
     bool expire(TimePoint now);
 
     // Returns the ids of the hosts that expire() has removed since the last call.
@@ -171,6 +177,8 @@
     // Whether an entry with the revision may come from an older copy of the store, while what the copy has forgotten
     // may not have been written again.
     bool isCopied(std::uint64_t revision, TimePoint now) const;
+    // Handles a host that has been missing for missingHostTimeout. Returns whether it is kept.
+    bool keepRestored(KnownHost&, TimePoint now) const;
     // Handles a host that a listing lacks. Returns whether the host was removed at once.
     bool markAbsent(const std::string& id, TimePoint now);
     void recordGone(const std::string& id, TimePoint now);
--- a/test/unit/StoreEraTest.cpp
+++ b/test/unit/StoreEraTest.cpp
@@ -222,6 +222,31 @@
     REQUIRE(find(directory, "b"));
     CHECK(directory.expire(start + seconds(5) + HostDirectory::missingHostTimeout));
     CHECK_FALSE(find(directory, "b"));
+    CHECK_FALSE(directory.isComplete());
+    // It runs, as its entry is still there: it does not write an entry again that the copy has.
+    CHECK(directory.expire(back + HostDirectory::missingHostTimeout));
+    CHECK(find(directory, "b"));
+    CHECK(directory.isComplete());
+}
+
+// Guards against FLOW: a running host that two copies in a row lack is removed before it can have written again.
+TEST_CASE("a store that comes back twice gives hosts the whole time after its last return")
+{
+    HostDirectory directory;
+    list(directory, { written("a", 50), written("b", 60), written("c", 61) }, 61, start);
+    directory.beginEra(1, start);
+    list(directory, { written("a", 50) }, 55, start);
+    const auto again = start + milliseconds(1500);
+    directory.beginEra(2, again);
+    list(directory, { written("a", 50), written("c", 52) }, 53, again);
+    REQUIRE(find(directory, "c"));
+    CHECK_FALSE(find(directory, "c")->missingSince); // no removal of its entry was known
+    directory.expire(start + HostDirectory::missingHostTimeout);
+    CHECK(find(directory, "b"));
+    directory.apply(written("b", 54), again + seconds(2));
+    directory.expire(again + seconds(5));
+    CHECK(find(directory, "b"));
+    CHECK(directory.isComplete());
 }
 
 // Guards against the revision of an earlier era that is taken for one of the era being listed: the balancer then
