--- a/src/app/DirectorySnapshot.cpp
+++ b/src/app/DirectorySnapshot.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
 
 namespace chicoryferry {
 
@@ -56,6 +57,60 @@
         target);
 }
 
+void writeHost(const HostDirectory& directory, const KnownHost& host, std::chrono::steady_clock::time_point now,
+    wire::DirectorySnapshot::Host& item)
+{
+    item.set_id(host.entry.id);
+    item.set_service(host.entry.service);
+    item.set_address(host.entry.address.address);
+    item.set_port(host.entry.address.port);
+    item.set_availability_zone(host.entry.availabilityZone);
+    item.set_slots(host.entry.slots);
+    item.set_draining(host.entry.draining);
+    item.set_started_at_ms(host.entry.startedAtMs);
+    item.set_revision(host.revision);
+    item.set_cold_remaining_ms(static_cast<std::uint32_t>(host.coldRemaining(now).count()));
+    if (const auto retention = directory.retention(host, now)) {
+        item.set_retained_ms(static_cast<std::uint32_t>(retention->remaining.count()));
+        item.set_retained_draining(retention->draining);
+    }
+}
+
+HostWritten readHost(const wire::DirectorySnapshot::Host& item, std::uint64_t snapshotRevision)
+{
+    HostWritten written { { item.id(), item.service(), { item.address(), static_cast<std::uint16_t>(item.port()) },
+                              item.availability_zone(), item.slots(), item.draining(),
+                              milliseconds(item.cold_remaining_ms()), item.started_at_ms() },
+        item.revision() > 0 ? item.revision() : snapshotRevision };
+    if (item.retained_ms() > 0) {
+        written.retention = HostRetention { milliseconds(item.retained_ms()), item.retained_draining() };
+    }
+    return written;
+}
+
+void writeZones(
+    const EvacuatedZones& zones, std::chrono::steady_clock::time_point now, wire::DirectorySnapshot& snapshot)
+{
+    snapshot.set_lists_zones(true);
+    for (const auto& [zone, revision] : zones.requests()) {
+        auto& item = *snapshot.add_evacuated_zones();
+        item.set_zone(zone);
+        item.set_revision(revision);
+    }
+    const auto end = zones.retentionEnd();
+    if (!end || *end <= now) {
+        return;
+    }
+    snapshot.set_zone_retention_ms(static_cast<std::uint32_t>(std::chrono::ceil<milliseconds>(*end - now).count()));
+    for (const RetainedZone& zone : zones.retained()) {
+        auto& item = *snapshot.add_retained_zones();
+        item.set_zone(zone.name);
+        item.set_revision(zone.revision);
+        item.set_requested(zone.requested);
+        item.set_evacuated(zone.evacuated);
+    }
+}
+
 bool isValid(const wire::DirectorySnapshot::Host& host)
 {
     return !host.id().empty() && !host.service().empty() && host.address() != 0 && host.port() > 0
@@ -91,27 +146,14 @@
         item.set_cold_starts_per_second(limits.coldStartsPerSecond);
     }
     snapshot.set_incomplete(!directory.isComplete());
-    snapshot.set_lists_zones(true);
-    for (const auto& [zone, requestRevision] : directory.evacuatedZones().requests()) {
-        auto& item = *snapshot.add_evacuated_zones();
-        item.set_zone(zone);
-        item.set_revision(requestRevision);
-    }
+    writeZones(directory.evacuatedZones(), now, snapshot);
     for (const KnownHost* host : directory.hosts()) {
-        if (host->missingSince) {
-            continue;
+        if (!host->missingSince) {
+            writeHost(directory, *host, now, *snapshot.add_hosts());
         }
-        auto& item = *snapshot.add_hosts();
-        item.set_id(host->entry.id);
-        item.set_service(host->entry.service);
-        item.set_address(host->entry.address.address);
-        item.set_port(host->entry.address.port);
-        item.set_availability_zone(host->entry.availabilityZone);
-        item.set_slots(host->entry.slots);
-        item.set_draining(host->entry.draining);
-        item.set_started_at_ms(host->entry.startedAtMs);
-        item.set_revision(host->revision);
-        item.set_cold_remaining_ms(static_cast<std::uint32_t>(host->coldRemaining(now).count()));
+    }
+    for (const KnownHost* host : directory.withheldHosts()) {
+        writeHost(directory, *host, now, *snapshot.add_withheld_hosts());
     }
     return snapshot.SerializeAsString();
 }
@@ -132,18 +174,24 @@
         result.changes.emplace_back(RouteTableWritten { readRoutes(snapshot) });
     }
     result.listsZones = snapshot.lists_zones();
+    result.zoneRetention = milliseconds(snapshot.zone_retention_ms());
+    std::set<std::string> retainedZones;
+    for (const auto& item : snapshot.retained_zones()) {
+        result.retainedZones.push_back({ item.zone(), item.requested(), item.revision(), item.evacuated() });
+        retainedZones.insert(item.zone());
+    }
     for (const auto& item : snapshot.evacuated_zones()) {
-        result.changes.emplace_back(EvacuationChanged { item.zone(), true, item.revision() });
+        if (!retainedZones.contains(item.zone())) {
+            result.changes.emplace_back(EvacuationChanged { item.zone(), true, item.revision() });
+        }
     }
-    for (const auto& item : snapshot.hosts()) {
-        if (!isValid(item)) {
-            return std::nullopt;
+    for (const auto* hosts : { &snapshot.hosts(), &snapshot.withheld_hosts() }) {
+        for (const auto& item : *hosts) {
+            if (!isValid(item)) {
+                return std::nullopt;
+            }
+            result.changes.emplace_back(readHost(item, snapshot.revision()));
         }
-        result.changes.emplace_back(
-            HostWritten { { item.id(), item.service(), { item.address(), static_cast<std::uint16_t>(item.port()) },
-                              item.availability_zone(), item.slots(), item.draining(),
-                              milliseconds(item.cold_remaining_ms()), item.started_at_ms() },
-                item.revision() > 0 ? item.revision() : snapshot.revision() });
     }
     return result;
 }
--- a/src/app/DirectorySnapshot.h
+++ b/src/app/DirectorySnapshot.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "state/DirectoryChange.h"
+#include "state/RetainedZone.h"
 #include "state/StoreVersion.h"
 
 #include <chrono>
@@ -18,6 +19,8 @@
     StoreVersion version;
     std::vector<DirectoryChange> changes; // together the complete directory
     bool incomplete { false }; // running hosts may be left out
+    std::vector<RetainedZone> retainedZones; // not among the changes
+    std::chrono::milliseconds zoneRetention { 0 }; // how much longer these are retained
     std::optional<std::uint64_t> eraRevision; // see HostDirectory::eraRevision()
     bool listsZones { false }; // false: of a version that does not know evacuations
 };
--- a/src/app/StoreReader.cpp
+++ b/src/app/StoreReader.cpp
@@ -144,6 +144,7 @@
             this->directory.apply(EvacuationChanged { zone, true, revision }, now);
         }
     }
+    this->applyRetainedZones(*snapshot, now);
     this->apply(snapshot->changes, snapshot->version.revision, now);
     if (this->listing) {
         // The peer's state makes a listing in progress unnecessary.
@@ -163,6 +164,20 @@
             { "configuration", static_cast<std::int64_t>(this->directory.routes().version) } });
 }
 
+void StoreReader::applyRetainedZones(const DirectorySnapshot& snapshot, TimePoint now)
+{
+    bool changed = false;
+    for (const RetainedZone& zone : snapshot.retainedZones) {
+        changed = this->directory.applyRetainedZone(zone, snapshot.zoneRetention, now)
+                == HostDirectory::Effect::EvacuationChanged
+            || changed;
+    }
+    if (changed) {
+        this->logEvacuations(snapshot.version.revision);
+        this->onChange();
+    }
+}
+
 void StoreReader::startCall(TimePoint now)
 {
     if (!this->listing) {
--- a/src/app/StoreReader.h
+++ b/src/app/StoreReader.h
@@ -21,6 +21,7 @@
 class EventLog;
 class EventLoop;
 class Metrics;
+struct DirectorySnapshot;
 
 namespace platform {
 struct StoreAnswer;
@@ -62,6 +63,7 @@
     void startCall(TimePoint now);
     void onResult(const HttpExchange::Result&);
     void onFetched(const HttpExchange::Result&);
+    void applyRetainedZones(const DirectorySnapshot&, TimePoint now);
     // Handles the era that an answer states, if it states one. Returns whether the answer can be used.
     bool acceptEra(std::optional<std::uint64_t> stated, TimePoint now);
     // Begins a listing. Another one that follows without a successful watch in between is delayed.
--- a/src/state/DirectoryChange.h
+++ b/src/state/DirectoryChange.h
@@ -3,7 +3,9 @@
 #include "protocol/HostEntry.h"
 #include "protocol/RouteTable.h"
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -14,10 +16,17 @@
     RouteTable table;
 };
 
+// What an earlier era of the store said of a backend server, which a peer holds for a while in place of the entry.
+struct HostRetention {
+    std::chrono::milliseconds remaining { 0 };
+    bool draining { false }; // otherwise the backend server was gone
+};
+
 // A backend server's entry was written to the store.
 struct HostWritten {
     HostEntry entry;
     std::uint64_t revision { 0 }; // of the store
+    std::optional<HostRetention> retention = std::nullopt; // of a peer
 };
 
 // An entry other than a backend server's could not be read. What was known before stays in force.
--- a/src/state/EvacuatedZones.cpp
+++ b/src/state/EvacuatedZones.cpp
@@ -1,5 +1,7 @@
 #include "state/EvacuatedZones.h"
 
+#include <algorithm>
+
 namespace chicoryferry {
 
 namespace {
@@ -24,20 +26,38 @@
     if (revision < zone.revision) {
         return Effect::RefusedOlder;
     }
-    const bool changed = zone.evacuated != evacuated;
+    const bool changed = zone.isEvacuated() != evacuated;
     zone = { evacuated, revision, {} };
     return changed ? Effect::Changed : Effect::None;
 }
 
-EvacuatedZones::Effect EvacuatedZones::list(const std::string& availabilityZone, std::uint64_t revision)
+EvacuatedZones::Effect EvacuatedZones::list(const std::string& availabilityZone, std::uint64_t revision, bool isCopied)
 {
     this->listed.insert(availabilityZone);
     const auto found = this->zones.find(availabilityZone);
-    if (found != this->zones.end() && this->eraSince && found->second.retained) {
-        found->second.retained = true; // may be a request that had been taken back after the copy
-        return Effect::None;
+    if (found == this->zones.end() || !found->second.retained || !isCopied) {
+        return this->change(availabilityZone, true, revision);
+    }
+    // May be a request that had been taken back after the copy.
+    found->second.requested = true;
+    found->second.revision = revision;
+    return Effect::None;
+}
+
+bool EvacuatedZones::listRetained(const RetainedZone& peerZone, TimePoint end)
+{
+    if (peerZone.requested) {
+        this->listed.insert(peerZone.name);
+    }
+    const auto found = this->zones.find(peerZone.name);
+    const bool known = found != this->zones.end();
+    if (known ? found->second.revision > peerZone.revision : this->zones.size() >= maximumZones) {
+        return false;
     }
-    return this->change(availabilityZone, true, revision);
+    const bool wasEvacuated = known && found->second.isEvacuated();
+    this->zones[peerZone.name] = { peerZone.requested, peerZone.revision, peerZone.evacuated };
+    this->retainedUntil = std::max(end, this->retainedUntil.value_or(end));
+    return wasEvacuated != peerZone.evacuated;
 }
 
 bool EvacuatedZones::endListing(std::uint64_t revision)
@@ -47,13 +67,11 @@
         if (this->listed.contains(name) || zone.revision > revision) {
             continue;
         }
-        if (this->eraSince && zone.retained) {
-            zone.retained = false;
-            continue;
+        if (zone.retained && zone.revision == 0) {
+            continue; // the copy may have forgotten the request
         }
-        changed = changed || zone.evacuated;
-        zone.evacuated = false;
-        zone.revision = revision;
+        changed = changed || zone.isEvacuated();
+        zone = { false, revision, {} };
     }
     this->listed.clear();
     return changed;
@@ -61,35 +79,42 @@
 
 void EvacuatedZones::beginEra(TimePoint now)
 {
-    this->eraSince = now;
+    this->retainedUntil = now + eraRetention;
     for (auto& [name, zone] : this->zones) {
-        zone.revision = 0;
-        zone.retained = zone.evacuated;
+        zone = { false, 0, zone.isEvacuated() };
     }
 }
 
 bool EvacuatedZones::expire(TimePoint now)
 {
-    if (!this->eraSince || now - *this->eraSince < eraRetention) {
+    if (!this->retainedUntil || now < *this->retainedUntil) {
         return false;
     }
-    this->eraSince.reset();
+    this->retainedUntil.reset();
     bool changed = false;
     for (auto& [name, zone] : this->zones) {
-        if (zone.retained) {
-            changed = changed || zone.evacuated != *zone.retained;
-            zone.evacuated = *zone.retained;
-            zone.retained.reset();
-        }
+        changed = changed || zone.isEvacuated() != zone.requested;
+        zone.retained.reset();
     }
     return changed;
 }
 
+std::vector<RetainedZone> EvacuatedZones::retained() const
+{
+    std::vector<RetainedZone> retained;
+    for (const auto& [name, zone] : this->zones) {
+        if (zone.retained && (zone.requested || zone.isEvacuated())) {
+            retained.push_back({ name, zone.requested, zone.revision, zone.isEvacuated() });
+        }
+    }
+    return retained;
+}
+
 std::set<std::string, std::less<>> EvacuatedZones::names() const
 {
     std::set<std::string, std::less<>> names;
     for (const auto& [name, zone] : this->zones) {
-        if (zone.evacuated) {
+        if (zone.isEvacuated()) {
             names.insert(name);
         }
     }
@@ -100,7 +125,7 @@
 {
     std::map<std::string, std::uint64_t> requests;
     for (const auto& [name, zone] : this->zones) {
-        if (zone.evacuated) {
+        if (zone.isEvacuated()) {
             requests[name] = zone.revision;
         }
     }
--- a/src/state/EvacuatedZones.h
+++ b/src/state/EvacuatedZones.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "state/RetainedZone.h"
+
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -7,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace chicoryferry {
 
@@ -26,9 +29,12 @@
     Effect change(const std::string& availabilityZone, bool evacuated, std::uint64_t revision);
 
     // Delimit a listing of all requests. A zone without a listed request is no longer evacuated, unless it has changed
-    // after the revision of the listing. The listing of a new era only takes effect when expire() ends the retention.
+    // after the revision of the listing. What a listing has from the copy (isCopied) takes effect when expire() ends
+    // the retention.
     void beginListing() { this->listed.clear(); }
-    Effect list(const std::string& availabilityZone, std::uint64_t revision);
+    Effect list(const std::string& availabilityZone, std::uint64_t revision, bool isCopied);
+    // Takes over what a peer retains until `end`. Returns whether the evacuated zones have changed.
+    bool listRetained(const RetainedZone&, TimePoint end);
     // Returns whether the evacuated zones have changed.
     bool endListing(std::uint64_t revision);
 
@@ -40,6 +46,10 @@
     // evacuated zones have changed.
     bool expire(TimePoint now);
 
+    // The zones of which an earlier era's request, or its end, is in force, and until when.
+    std::vector<RetainedZone> retained() const;
+    std::optional<TimePoint> retentionEnd() const { return this->retainedUntil; }
+
     // Names of the evacuated zones.
     std::set<std::string, std::less<>> names() const;
 
@@ -51,14 +61,16 @@
 
 private:
     struct Zone {
-        bool evacuated { false };
+        bool requested { false }; // the store has a request
         std::uint64_t revision { 0 };
-        std::optional<bool> retained; // what the new era's listing says; `evacuated` is that of the era before
+        std::optional<bool> retained; // what the era before said, in force in place of `requested`
+
+        bool isEvacuated() const { return this->retained.value_or(this->requested); }
     };
 
     std::map<std::string, Zone> zones;
     std::set<std::string> listed;
-    std::optional<TimePoint> eraSince;
+    std::optional<TimePoint> retainedUntil;
 };
 
 }
--- a/src/state/HostDirectory.cpp
+++ b/src/state/HostDirectory.cpp
@@ -19,8 +19,8 @@
 {
     const HostEntry& entry = written.entry;
     this->listed.insert(entry.id);
-    // All changes up to knownRevision are known, so that an unknown or missing host with an older entry has been removed
-    // since. A listing is newer than knownRevision, and what it contains exists.
+    // All changes up to knownRevision are known, so that an unknown or missing host with an older entry has been
+    // removed since. A listing is newer than knownRevision, and what it contains exists.
     const auto earlier = this->known.find(entry.id);
     const bool absent = earlier == this->known.end() || earlier->second.missingSince;
     if (!this->isListing && written.revision < this->knownRevision && absent) {
@@ -32,10 +32,12 @@
         return Effect::RefusedOlder;
     }
     if (!absent && written.revision > 0 && written.revision == host.revision) {
-        return Effect::None; // a peer's copy of the entry may have fewer fields
+        // A peer's copy of the entry may have fewer fields.
+        return takeRetention(host, written, now) ? Effect::HostsChanged : Effect::None;
     }
     const bool copied = this->isCopied(written.revision, now);
-    const bool retained = this->retain(host, entry.id, !added && host.isDraining(), copied);
+    const bool retained = this->retain(host, entry.id, !added && host.isDraining(), copied)
+        || (!host.missingSince && takeRetention(host, written, now));
     // A host whose entry was removed before the store came back may have gone; the copy does not know it.
     const bool returns = host.missingSince && (!copied || host.forgotten);
     host.restored = host.missingSince && !returns;
@@ -56,9 +58,24 @@
     return changed ? Effect::HostsChanged : Effect::None;
 }
 
+bool HostDirectory::takeRetention(KnownHost& host, const HostWritten& written, TimePoint now)
+{
+    if (!written.retention || host.retainedUntil) {
+        return false;
+    }
+    host.retainedUntil = now + std::min(written.retention->remaining, missingHostTimeout);
+    host.retainedDraining = written.retention->draining;
+    return true;
+}
+
 bool HostDirectory::isCopied(std::uint64_t revision, TimePoint now) const
 {
-    if (!this->eraSince || now - *this->eraSince >= missingHostTimeout) {
+    return this->eraSince && now - *this->eraSince < missingHostTimeout && this->mayBeCopied(revision);
+}
+
+bool HostDirectory::mayBeCopied(std::uint64_t revision) const
+{
+    if (!this->eraSince) {
         return false;
     }
     // The store has given out every revision above one that it has stated in this era in this era.
@@ -156,7 +173,7 @@
         return Effect::RefusedOlder;
     }
     const auto effect = this->isListing && request.evacuated
-        ? this->evacuations.list(request.availabilityZone, request.revision)
+        ? this->evacuations.list(request.availabilityZone, request.revision, this->mayBeCopied(request.revision))
         : this->evacuations.change(request.availabilityZone, request.evacuated, request.revision);
     switch (effect) {
     case EvacuatedZones::Effect::None:
@@ -169,6 +186,14 @@
     return Effect::RefusedOlder;
 }
 
+HostDirectory::Effect HostDirectory::applyRetainedZone(
+    const RetainedZone& zone, std::chrono::milliseconds remaining, TimePoint now)
+{
+    const auto longest = std::chrono::milliseconds(EvacuatedZones::eraRetention);
+    return this->evacuations.listRetained(zone, now + std::min(remaining, longest)) ? Effect::EvacuationChanged
+                                                                                    : Effect::None;
+}
+
 void HostDirectory::applyRoutes(const RouteTable& next, TimePoint now)
 {
     for (const auto& [address, route] : this->table.routes) {
@@ -345,6 +370,29 @@
     return found == this->table.routes.end() ? nullptr : &found->second;
 }
 
+std::vector<const KnownHost*> HostDirectory::withheldHosts() const
+{
+    std::vector<const KnownHost*> hosts;
+    for (const auto& [id, host] : this->known) {
+        if (host.isGone() || host.restored) {
+            hosts.push_back(&host);
+        }
+    }
+    return hosts;
+}
+
+std::optional<HostRetention> HostDirectory::retention(const KnownHost& host, TimePoint now) const
+{
+    const auto remaining = [now](TimePoint end) { return std::chrono::ceil<std::chrono::milliseconds>(end - now); };
+    if (host.retainedUntil && *host.retainedUntil > now) {
+        return HostRetention { remaining(*host.retainedUntil), host.retainedDraining };
+    }
+    if (host.restored && this->eraSince && now - *this->eraSince < missingHostTimeout) {
+        return HostRetention { remaining(*this->eraSince + missingHostTimeout), false };
+    }
+    return std::nullopt;
+}
+
 std::vector<const KnownHost*> HostDirectory::hosts() const
 {
     std::vector<const KnownHost*> hosts;
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -94,6 +94,9 @@
     // Begins the era or correction of a peer's state if it is a later one. Returns whether it is.
     bool follow(const StoreVersion&, TimePoint now);
 
+    // Takes over what a peer retains of zones. Between beginListing() and endListing().
+    Effect applyRetainedZone(const RetainedZone&, std::chrono::milliseconds remaining, TimePoint now);
+
     // The lowest revision that the store is known to have stated in the present era or correction. Unset in the first
     // era and before the first listing of a later one.
     std::optional<std::uint64_t> eraRevision() const { return this->lowestEraRevision; }
@@ -161,6 +164,13 @@
     // out of use after 3 s.
     static constexpr std::chrono::milliseconds missingHostTimeout { 2200 };
 
+    // Hosts that are out of use although the store has their entries: an earlier era, or a removal before the store
+    // came back from a copy, says that they are gone.
+    std::vector<const KnownHost*> withheldHosts() const;
+
+    // For how much longer what an earlier era said of the host holds, or of what kind it is; unset if it does not.
+    std::optional<HostRetention> retention(const KnownHost&, TimePoint now) const;
+
     // Maximum lifetime of a flow on the users' platform; older flows need no answer.
     static constexpr std::chrono::milliseconds removedRouteRetention { 60000 };
 
@@ -174,9 +184,11 @@
     // Begins or ends the retention of what an earlier era said of a host whose entry is read. Returns whether it has
     // begun or ended.
     bool retain(KnownHost&, const std::string& id, bool wasDraining, bool isCopied) const;
-    // Whether an entry with the revision may come from an older copy of the store, while what the copy has forgotten
-    // may not have been written again.
+    // Whether an entry with the revision may come from an older copy of the store.
+    bool mayBeCopied(std::uint64_t revision) const;
+    // The same, while what the copy has forgotten may not have been written again.
     bool isCopied(std::uint64_t revision, TimePoint now) const;
+    static bool takeRetention(KnownHost&, const HostWritten&, TimePoint now);
     // Handles a host that has been missing for missingHostTimeout. Returns whether it is kept.
     bool keepRestored(KnownHost&, TimePoint now) const;
     // Handles a host that a listing lacks. Returns whether the host was removed at once.
--- a/test/unit/StoreEraTest.cpp
+++ b/test/unit/StoreEraTest.cpp
@@ -50,6 +50,9 @@
     REQUIRE(snapshot);
     directory.follow(snapshot->version, now);
     directory.beginListing(snapshot->eraRevision);
+    for (const RetainedZone& zone : snapshot->retainedZones) {
+        directory.applyRetainedZone(zone, snapshot->zoneRetention, now);
+    }
     for (const DirectoryChange& change : snapshot->changes) {
         directory.apply(change, now);
     }
@@ -422,3 +425,91 @@
     CHECK_FALSE(find(directory, "a")->isDraining());
     CHECK(directory.eraRevision() == 45);
 }
+
+// Guards against DRAIN: a balancer that starts while the store has forgotten a drain takes the host for a ready one.
+// And against a host that it lacks for good, because the peer withheld it when the balancer took the peer's state.
+TEST_CASE("a balancer that starts takes over what its peer retains of the era before")
+{
+    HostDirectory peer;
+    list(peer, { written("a", 50), written("b", 51), written("c", 52) }, 60, start);
+    peer.apply(written("a", 61, true), start);
+    peer.apply(HostRemoved { "b", false, 62 }, start);
+    peer.expire(start + seconds(3));
+    peer.apply(HostRemoved { "c", false, 63 }, start + seconds(4)); // in use, but missing, when the store comes back
+    const auto back = start + seconds(5);
+    peer.beginEra(1, back);
+    list(peer, { written("a", 50), written("b", 51), written("c", 52) }, 55, back);
+    HostDirectory started;
+    const auto later = back + milliseconds(500);
+    SUBCASE("from the peer alone") { }
+    SUBCASE("after it has listed the store itself")
+    {
+        started.beginEra(1, later);
+        list(started, { written("a", 50), written("b", 51), written("c", 52) }, 55, later);
+    }
+    take(started, peer, later);
+    REQUIRE(find(started, "a"));
+    CHECK(find(started, "a")->isDraining());
+    CHECK_FALSE(find(started, "b"));
+    CHECK_FALSE(find(started, "c"));
+    CHECK_FALSE(started.isComplete());
+    for (HostDirectory* directory : { &peer, &started }) {
+        directory->expire(back + HostDirectory::missingHostTimeout);
+        CHECK_FALSE(find(*directory, "a")->isDraining());
+        CHECK(find(*directory, "b"));
+        CHECK(find(*directory, "c"));
+    }
+}
+
+// Guards against EVAC and against zones that stay evacuated at one balancer: evacuations in snapshots of an era.
+TEST_CASE("balancers that take snapshots end the retention of evacuations like the reader")
+{
+    HostDirectory reader;
+    HostDirectory other;
+    HostDirectory started;
+    const auto evacuated = [](const HostDirectory& directory, const std::string& zone) {
+        return directory.evacuatedZones().names().contains(zone);
+    };
+    for (HostDirectory* directory : { &reader, &other }) {
+        list(*directory, { EvacuationChanged { "b", true, 5 } }, 60, start);
+        directory->apply(EvacuationChanged { "a", true, 61 }, start);
+        directory->apply(EvacuationChanged { "b", false, 62 }, start);
+    }
+    reader.beginEra(1, start);
+    list(reader, { EvacuationChanged { "b", true, 5 } }, 40, start);
+    take(other, reader, start + milliseconds(10));
+    take(started, reader, start + milliseconds(10));
+    for (const HostDirectory* directory : { &reader, &other, &started }) {
+        CHECK(evacuated(*directory, "a"));
+        CHECK_FALSE(evacuated(*directory, "b"));
+    }
+    SUBCASE("a request of the new era is in force at once")
+    {
+        reader.apply(EvacuationChanged { "b", true, 41 }, start + seconds(1));
+        reader.advanceTo(41);
+        CHECK(evacuated(reader, "b"));
+        for (HostDirectory* directory : { &other, &started }) {
+            take(*directory, reader, start + seconds(1));
+            CHECK(evacuated(*directory, "b"));
+            CHECK(evacuated(*directory, "a"));
+        }
+    }
+    SUBCASE("a request of the new era is taken back at once")
+    {
+        reader.apply(EvacuationChanged { "a", true, 41 }, start + seconds(1));
+        reader.advanceTo(41);
+        take(other, reader, start + seconds(1));
+        reader.apply(EvacuationChanged { "a", false, 42 }, start + seconds(2));
+        reader.advanceTo(42);
+        take(other, reader, start + seconds(2));
+        CHECK_FALSE(evacuated(other, "a"));
+    }
+    SUBCASE("nothing is written again")
+    {
+        for (HostDirectory* directory : { &reader, &other, &started }) {
+            CHECK(directory->expire(start + EvacuatedZones::eraRetention + milliseconds(20)));
+            CHECK_FALSE(evacuated(*directory, "a"));
+            CHECK(evacuated(*directory, "b"));
+        }
+    }
+}
