Balancers find out that their entries differ at the same version of the store, and recover

Cause: balancers compared versions of the store only. Two with the same version and other entries never noticed. A reader that took a peer's directory when it started, or that took over from another one, did not list the store itself, so that the gap went on from there. Change: hellos have a digest of the entries. While a live peer announces another digest for the same version, no open flow is reset as not_found. The first reader, and every reader that differs from it, lists the store after 0.3 s; the others take the first reader's entries after 0.9 s, or, while the store answers nobody, complete theirs from each other. A difference that remains is resolved at intervals that grow from 0.5 s to 30 s. Readers list the store unless they have read all of their state themselves. A newer configuration is taken from a peer whatever the version of the store, since a copy of the store may have an older one.

--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -33,6 +33,16 @@
 // reports a change within milliseconds, and 150 ms later if it follows another change.
 constexpr milliseconds readerLagLimit { 600 };
 
+// Delays before a difference from peers at the same store version is resolved. It may pass by itself, since the pages
+// of a listing can be newer than its version. Readers list the store first; the others then take the first reader's
+// entries. All is done within 3 s.
+constexpr milliseconds readerResolutionDelay { 300 };
+constexpr milliseconds resolutionDelayOfOthers { 900 };
+
+// Bounds of the interval at which a difference that remains is resolved again.
+constexpr milliseconds minimumResolutionDelay { 500 };
+constexpr milliseconds maximumResolutionDelay { 30000 };
+
 // Interval of the check for hosts that have been missing for too long.
 constexpr milliseconds expiryInterval { 200 };
 
@@ -108,21 +118,22 @@
     this->synchronizeWithPeers(now);
 }
 
-void BalancerNode::synchronizeWithPeers(TimePoint now)
+bool BalancerNode::fetchNewerState(bool isReader, TimePoint now)
 {
-    const std::size_t readersBefore = this->peers.readersBefore(now);
-    const bool isReader = readersBefore < PeerBalancers::maximumReaders;
-    this->reader.setReading(isReader || !this->directory.hasRoutes() || !this->directory.isListed());
-    this->reader.setFirstReader(readersBefore == 0);
     const bool behind = this->peers.newestVersion(now) > this->directory.versionBegun();
-    this->directory.setBehind(behind);
     if (this->reader.isFetching()) {
-        return;
+        return behind;
+    }
+    const auto newerConfiguration = this->peers.peerWithNewerConfiguration(this->directory.routes().version, now);
+    if (newerConfiguration && now >= this->nextConfigurationFetch) {
+        this->nextConfigurationFetch = now + 2 * helloInterval;
+        this->reader.fetchFrom(*newerConfiguration, StoreReader::FetchPurpose::Newer, now);
+        return behind;
     }
     const auto peer = behind ? this->peers.newerPeer(this->directory.versionBegun(), now) : std::nullopt;
     if (!peer) {
         this->behindSince.reset();
-        return;
+        return behind;
     }
     if (!this->behindSince) {
         this->behindSince = now;
@@ -130,8 +141,69 @@
     // A process that reads the store gets changes from it, unless its calls fail or hang.
     const bool readsItself = this->reader.available() && isReader;
     if (!readsItself || now - *this->behindSince >= readerLagLimit) {
-        this->reader.fetchFrom(*peer, now);
+        this->reader.fetchFrom(*peer, StoreReader::FetchPurpose::Newer, now);
     }
+    return behind;
+}
+
+void BalancerNode::resolveDifference(bool isReader, TimePoint now)
+{
+    if (!this->differentSince) {
+        this->differentSince = now;
+        if (now - this->lastDifference >= maximumResolutionDelay) {
+            this->resolutionDelay = milliseconds(0);
+        }
+    }
+    this->lastDifference = now;
+    const bool listsStore = isReader && this->reader.available();
+    const auto delay = listsStore ? readerResolutionDelay : resolutionDelayOfOthers;
+    if (now - *this->differentSince < delay || now < this->nextResolution || this->reader.isFetching()) {
+        return;
+    }
+    const auto reference = this->peers.referencePeer(this->announced, now);
+    const bool isFirstReader = listsStore && this->peers.readersBefore(now) == 0;
+    if (!reference && !isFirstReader) {
+        return; // the others are about to change
+    }
+    this->resolutionDelay = std::clamp(this->resolutionDelay * 2, minimumResolutionDelay, maximumResolutionDelay);
+    this->nextResolution = now + this->resolutionDelay;
+    this->metrics.events("state_difference").Increment();
+    this->log.log(EventLog::Importance::Notable, "state_difference",
+        { { "revision", static_cast<std::int64_t>(this->announced.version.revision) },
+            { "step", listsStore ? "list store" : "fetch from peer" },
+            { "peer", reference ? formatEndpoint(*reference) : "" } });
+    if (listsStore) {
+        this->reader.listAgain(now);
+        return;
+    }
+    const bool storeAnswers = this->peers.isStoreAnsweringPeer(now);
+    this->reader.fetchFrom(
+        *reference, storeAnswers ? StoreReader::FetchPurpose::Replacement : StoreReader::FetchPurpose::Completion, now);
+}
+
+void BalancerNode::synchronizeWithPeers(TimePoint now)
+{
+    const std::size_t readersBefore = this->peers.readersBefore(now);
+    const bool isReader = readersBefore < PeerBalancers::maximumReaders;
+    if (isReader) {
+        this->reader.setRole(readersBefore == 0 ? StoreReader::Role::FirstReader : StoreReader::Role::Reader);
+    } else {
+        const bool isListed = this->directory.hasRoutes() && this->directory.isListed();
+        this->reader.setRole(isListed ? StoreReader::Role::None : StoreReader::Role::Starting);
+    }
+    if (!this->listedSince && this->directory.isListed()) {
+        this->listedSince = now;
+    }
+    const bool behind = this->fetchNewerState(isReader, now);
+    const bool different = this->peers.isAnyDifferent(this->announced, now);
+    if (different) {
+        this->resolveDifference(isReader, now);
+    } else {
+        this->differentSince.reset();
+    }
+    // A peer with other entries is heard of within two hellos.
+    const bool isCompared = this->listedSince && now - *this->listedSince >= 2 * helloInterval;
+    this->directory.setBehind(behind || different || !isCompared);
 }
 
 void BalancerNode::logSelections()
@@ -338,13 +410,18 @@
 void BalancerNode::sendHellos(TimePoint now)
 {
     this->nextHello = now + helloInterval;
-    // A snapshot says how much longer hosts are cold.
-    if (this->snapshot.version() != this->directory.version() || this->directory.hasColdHost(now)) {
+    // Between two eras the entries belong to neither version.
+    const bool isWhole = this->directory.isListed() && this->directory.versionBegun() == this->directory.version();
+    const std::uint64_t before = this->announced.digest;
+    this->announced = { this->incarnation, this->directory.version(), this->reader.available(),
+        isWhole ? this->directory.digest() : 0, this->directory.routes().version };
+    // A snapshot says how much longer hosts are cold or what an earlier era said of them holds.
+    if (this->snapshot.version() != this->directory.version() || this->announced.digest != before
+        || this->directory.hasColdHost(now) || this->directory.hasRetention(now)) {
         this->snapshot.update(this->directory, now);
     }
     const auto zones = this->directory.evacuatedZones().names();
-    HelloMessage message { { this->incarnation, this->directory.version(), this->reader.available() }, {},
-        { zones.begin(), zones.end() } };
+    HelloMessage message { this->announced, {}, { zones.begin(), zones.end() } };
     for (const Endpoint& peer : this->peers.livePeers(now, maximumListedPeers)) {
         message.balancers.push_back(peer.address);
     }
--- a/src/app/BalancerNode.h
+++ b/src/app/BalancerNode.h
@@ -59,6 +59,10 @@
     void handleHello(const Endpoint& peer, const HelloMessage&, TimePoint now);
     void learnPeers(const std::vector<std::uint32_t>& addresses, TimePoint now);
     void synchronizeWithPeers(TimePoint now);
+    // Fetches newer changes or a newer configuration from a peer. Returns whether a peer has newer changes.
+    bool fetchNewerState(bool isReader, TimePoint now);
+    // Resolves a difference from peers that announce the same store version with other entries.
+    void resolveDifference(bool isReader, TimePoint now);
     void startShutdown(TimePoint now);
     bool isStopped(TimePoint now) const;
     std::chrono::milliseconds timeout(TimePoint now) const;
@@ -88,6 +92,13 @@
     TimePoint nextExpiry;
     std::chrono::nanoseconds lastWakeup { 0 }; // of a clock that advances while the machine is suspended
     std::optional<TimePoint> behindSince; // since when a peer has had a newer store revision
+    BalancerState announced; // in the last hello
+    std::optional<TimePoint> listedSince; // when all hosts were first known
+    std::optional<TimePoint> differentSince; // since when a peer has had other entries at the same store version
+    TimePoint lastDifference;
+    TimePoint nextResolution; // earliest time of the next step to resolve a difference
+    std::chrono::milliseconds resolutionDelay { 0 };
+    TimePoint nextConfigurationFetch; // bounds the calls while a peer announces a version that it does not hand out yet
     bool discardingStalePackets { false };
     bool stopping { false };
     std::atomic<bool> ready { false };
--- a/src/app/DirectorySnapshot.cpp
+++ b/src/app/DirectorySnapshot.cpp
@@ -147,6 +147,9 @@
     }
     snapshot.set_incomplete(!directory.isComplete());
     writeZones(directory.evacuatedZones(), now, snapshot);
+    for (const std::string& id : directory.goneHostIds()) {
+        snapshot.add_gone_hosts(id);
+    }
     for (const KnownHost* host : directory.hosts()) {
         if (!host->missingSince) {
             writeHost(directory, *host, now, *snapshot.add_hosts());
@@ -174,6 +177,7 @@
         result.changes.emplace_back(RouteTableWritten { readRoutes(snapshot) });
     }
     result.listsZones = snapshot.lists_zones();
+    result.goneHosts.assign(snapshot.gone_hosts().begin(), snapshot.gone_hosts().end());
     result.zoneRetention = milliseconds(snapshot.zone_retention_ms());
     std::set<std::string> retainedZones;
     for (const auto& item : snapshot.retained_zones()) {
--- a/src/app/SteeringMessages.cpp
+++ b/src/app/SteeringMessages.cpp
@@ -161,6 +161,8 @@
     hello.set_era(message.state.version.era);
     hello.set_correction(message.state.version.correction);
     hello.set_store_available(message.state.storeAvailable);
+    hello.set_digest(message.state.digest);
+    hello.set_configuration_version(message.state.configuration);
     hello.mutable_balancers()->Add(message.balancers.begin(), message.balancers.end());
     std::size_t zoneBytes = 0;
     for (const std::string& zone : message.evacuatedZones) {
@@ -203,7 +205,7 @@
     if (this->header->has_hello()) {
         const wire::BalancerHello& hello = this->header->hello();
         return HelloMessage { { hello.lifetime(), { hello.era(), hello.revision(), hello.correction() },
-                                  hello.store_available() },
+                                  hello.store_available(), hello.digest(), hello.configuration_version() },
             { hello.balancers().begin(), hello.balancers().end() },
             { hello.evacuated_zones().begin(), hello.evacuated_zones().end() } };
     }
--- a/src/app/StoreReader.cpp
+++ b/src/app/StoreReader.cpp
@@ -72,7 +72,7 @@
     TimePoint next = TimePoint::max();
     if (this->exchange) {
         next = this->exchangeDeadline;
-    } else if (this->reading) {
+    } else if (this->role != Role::None) {
         next = this->nextCall;
     }
     return this->fetch ? std::min(next, this->fetchDeadline) : next;
@@ -91,14 +91,32 @@
         this->fetch.reset();
         this->handleFetchFailure(step, "call timed out");
     }
-    if (!this->exchange && this->reading && now >= this->nextCall) {
+    if (!this->exchange && this->role != Role::None && now >= this->nextCall) {
         this->startCall(now);
     }
 }
 
-void StoreReader::fetchFrom(const Endpoint& peer, TimePoint now)
+void StoreReader::setRole(Role next)
+{
+    if (next == Role::None) {
+        this->verified = false; // no watch shows the changes from now on
+    }
+    this->role = next;
+}
+
+void StoreReader::listAgain(TimePoint now)
+{
+    if (this->listing) {
+        return;
+    }
+    this->exchange.reset();
+    this->startListing(now);
+}
+
+void StoreReader::fetchFrom(const Endpoint& peer, FetchPurpose purpose, TimePoint now)
 {
     this->fetchPeer = peer;
+    this->fetchPurpose = purpose;
     this->fetchDeadline = now + callTimeout;
     this->metrics.events("peer_fetch").Increment();
     this->fetch = std::make_unique<HttpExchange>(this->loop, peer, "/v1/directory", maximumAnswerBytes,
@@ -127,43 +145,85 @@
         this->handleFetchFailure("read answer", "answer is not a valid directory snapshot");
         return;
     }
-    if (snapshot->version <= this->directory.versionBegun()) {
+    // The configuration is ordered by its own version.
+    for (const DirectoryChange& change : snapshot->changes) {
+        const auto* table = std::get_if<RouteTableWritten>(&change);
+        if (table != nullptr && table->table.version > this->directory.routes().version) {
+            this->apply({ change }, snapshot->version.revision, now);
+        }
+    }
+    if (this->fetchPurpose == FetchPurpose::Completion && snapshot->version == this->directory.version()
+        && !this->listing) {
+        this->completeState(*snapshot, now);
+        return;
+    }
+    const bool isUsable = this->fetchPurpose == FetchPurpose::Replacement && !this->listing
+        ? snapshot->version >= this->directory.versionBegun()
+        : snapshot->version > this->directory.versionBegun();
+    if (!isUsable) {
         // This process's store calls have already reached this version, or have shown a later era.
         this->metrics.refusals("fetch from peer", "older_version").Increment();
         return;
     }
-    if (this->directory.follow(snapshot->version, now)) {
+    this->replaceState(*snapshot, now);
+}
+
+void StoreReader::replaceState(const DirectorySnapshot& snapshot, TimePoint now)
+{
+    if (this->directory.follow(snapshot.version, now)) {
         this->logEra();
         // A watch that waits began at a revision of the earlier era, or at a false one.
         this->exchange.reset();
         this->nextCall = now;
     }
-    this->directory.beginListing(snapshot->eraRevision);
-    if (!snapshot->listsZones) {
+    this->directory.beginListing(snapshot.eraRevision, HostDirectory::Source::Peer);
+    if (!snapshot.listsZones) {
         for (const auto& [zone, revision] : this->directory.evacuatedZones().requests()) {
             this->directory.apply(EvacuationChanged { zone, true, revision }, now);
         }
     }
-    this->applyRetainedZones(*snapshot, now);
-    this->apply(snapshot->changes, snapshot->version.revision, now);
+    for (const std::string& host : snapshot.goneHosts) {
+        this->directory.listGoneHost(host);
+    }
+    this->applyRetainedZones(snapshot, now);
+    this->apply(snapshot.changes, snapshot.version.revision, now);
+    this->verified = false;
     if (this->listing) {
-        // The peer's state makes a listing in progress unnecessary.
+        // The peer's state makes a listing in progress unnecessary, except that readers begin it again.
         this->listing = false;
         this->listAfter.clear();
         this->exchange.reset();
         this->nextCall = now;
     }
-    if (snapshot->incomplete) {
+    if (snapshot.incomplete) {
         this->directory.markIncomplete(now);
     }
-    this->endListing(snapshot->version.revision, now);
+    this->endListing(snapshot.version.revision, now);
     this->log.log(EventLog::Importance::Notable, "peer_state_taken",
         { { "peer", formatEndpoint(this->fetchPeer) },
-            { "revision", static_cast<std::int64_t>(snapshot->version.revision) },
-            { "era", static_cast<std::int64_t>(snapshot->version.era) },
+            { "revision", static_cast<std::int64_t>(snapshot.version.revision) },
+            { "era", static_cast<std::int64_t>(snapshot.version.era) },
             { "configuration", static_cast<std::int64_t>(this->directory.routes().version) } });
 }
 
+void StoreReader::completeState(const DirectorySnapshot& snapshot, TimePoint now)
+{
+    std::vector<DirectoryChange> additions;
+    for (const DirectoryChange& change : snapshot.changes) {
+        const auto* host = std::get_if<HostWritten>(&change);
+        if (host == nullptr || !this->directory.isRecordedGone(host->entry.id)) {
+            additions.push_back(change);
+        }
+    }
+    this->directory.beginListing(snapshot.eraRevision, HostDirectory::Source::Peer);
+    this->apply(additions, snapshot.version.revision, now);
+    this->directory.endMerge();
+    this->metrics.events("peer_state_merged").Increment();
+    this->log.log(EventLog::Importance::Notable, "peer_state_merged",
+        { { "peer", formatEndpoint(this->fetchPeer) },
+            { "revision", static_cast<std::int64_t>(snapshot.version.revision) } });
+}
+
 void StoreReader::applyRetainedZones(const DirectorySnapshot& snapshot, TimePoint now)
 {
     bool changed = false;
@@ -181,7 +241,10 @@
 void StoreReader::startCall(TimePoint now)
 {
     if (!this->listing) {
-        if (this->nextRoutineListing && now >= *this->nextRoutineListing) {
+        if (this->isReader() && !this->verified) {
+            // What a reader has not read itself may be what peers have passed on with a gap.
+            this->startListing(now);
+        } else if (this->nextRoutineListing && now >= *this->nextRoutineListing) {
             this->nextRoutineListing.reset();
             this->startListing(now);
         } else if (!this->nextRoutineListing) {
@@ -190,7 +253,7 @@
     }
     this->callStart = now;
     this->callRevision = this->directory.revision();
-    const milliseconds wait = this->firstReader ? firstReaderWatchWait : watchWait;
+    const milliseconds wait = this->role == Role::FirstReader ? firstReaderWatchWait : watchWait;
     const std::string target = this->listing ? platform::listTarget(this->listAfter)
                                              : platform::watchTarget(this->directory.revision(), wait);
     this->exchangeDeadline = now + callTimeout + (this->listing ? milliseconds(0) : wait);
@@ -458,6 +521,7 @@
         return;
     }
     this->listing = false;
+    this->verified = true;
     if (answer.incomplete) {
         this->directory.abandonListing();
         this->directory.advanceTo(this->listRevision);
--- a/src/app/StoreReader.h
+++ b/src/app/StoreReader.h
@@ -43,14 +43,28 @@
     void tick(TimePoint now);
     TimePoint nextTick() const;
 
-    // Sets whether this process calls the store. Disabling does not abort a call in progress.
-    void setReading(bool enabled) { this->reading = enabled; }
-
-    // Sets whether this process is the first of the readers, whose watches wait for a shorter time.
-    void setFirstReader(bool first) { this->firstReader = first; }
-
-    // Fetches the complete directory from a peer with a newer revision. Calls onFetchFailed on failure.
-    void fetchFrom(const Endpoint& peer, TimePoint now);
+    enum class Role {
+        None, // does not call the store; a call in progress is not aborted
+        Starting, // lists the store unless a peer's state comes first
+        Reader,
+        FirstReader, // a reader whose watches wait for a shorter time
+    };
+
+    void setRole(Role);
+
+    // What the state of a peer is used for.
+    enum class FetchPurpose {
+        Newer, // it replaces the state known here if it is newer
+        Replacement, // the same also if the version is the same
+        Completion, // entries that are unknown here are added if the version is the same
+    };
+
+    // Fetches the complete directory from a peer. A newer configuration is taken in any case. Calls onFetchFailed on
+    // failure.
+    void fetchFrom(const Endpoint& peer, FetchPurpose, TimePoint now);
+
+    // Lists the store at once, because a peer has other entries at the same version.
+    void listAgain(TimePoint now);
     bool isFetching() const { return this->fetch != nullptr; }
 
     // Whether the last store call succeeded; false until the first success.
@@ -63,7 +77,12 @@
     void startCall(TimePoint now);
     void onResult(const HttpExchange::Result&);
     void onFetched(const HttpExchange::Result&);
+    // Replaces the directory by a peer's.
+    void replaceState(const DirectorySnapshot&, TimePoint now);
+    // Adds what only the peer's directory of the same version has.
+    void completeState(const DirectorySnapshot&, TimePoint now);
     void applyRetainedZones(const DirectorySnapshot&, TimePoint now);
+    bool isReader() const { return this->role == Role::Reader || this->role == Role::FirstReader; }
     // Handles the era that an answer states, if it states one. Returns whether the answer can be used.
     bool acceptEra(std::optional<std::uint64_t> stated, TimePoint now);
     // Begins a listing. Another one that follows without a successful watch in between is delayed.
@@ -102,8 +121,10 @@
     std::unique_ptr<HttpExchange> fetch;
     Endpoint fetchPeer;
     TimePoint fetchDeadline;
-    bool reading { true };
-    bool firstReader { false };
+    FetchPurpose fetchPurpose { FetchPurpose::Newer };
+    Role role { Role::Reader };
+    // The directory follows from a listing of the store and the changes since, all read by this process.
+    bool verified { false };
     bool answered { false };
     TimePoint exchangeDeadline; // of the store call in progress
     TimePoint callStart; // of the last store call
--- a/src/state/EvacuatedZones.cpp
+++ b/src/state/EvacuatedZones.cpp
@@ -121,6 +121,17 @@
     return names;
 }
 
+std::map<std::string, std::uint64_t> EvacuatedZones::storeRequests() const
+{
+    std::map<std::string, std::uint64_t> requests;
+    for (const auto& [name, zone] : this->zones) {
+        if (zone.requested) {
+            requests[name] = zone.revision;
+        }
+    }
+    return requests;
+}
+
 std::map<std::string, std::uint64_t> EvacuatedZones::requests() const
 {
     std::map<std::string, std::uint64_t> requests;
--- a/src/state/EvacuatedZones.h
+++ b/src/state/EvacuatedZones.h
@@ -56,6 +56,9 @@
     // With each evacuated zone, the revision of its request.
     std::map<std::string, std::uint64_t> requests() const;
 
+    // The zones whose requests the store has, with the revisions of the requests.
+    std::map<std::string, std::uint64_t> storeRequests() const;
+
     // Operators write their requests again at once. A request that is in the copy only is in force within 5 s.
     static constexpr std::chrono::seconds eraRetention { 3 };
 
--- a/src/state/HostDirectory.cpp
+++ b/src/state/HostDirectory.cpp
@@ -3,6 +3,7 @@
 #include "support/Overloaded.h"
 
 #include <algorithm>
+#include <xxhash.h>
 
 namespace chicoryferry {
 
@@ -96,11 +97,11 @@
     return wasRetained != host.retainedUntil.has_value();
 }
 
-void HostDirectory::recordGone(const std::string& id, TimePoint now)
+void HostDirectory::recordGone(const std::string& id, bool isRemoved, TimePoint now)
 {
     constexpr std::size_t maximumGoneHosts = 4096; // bounds the memory; more would be gone within a minute
     if (this->goneHosts.size() < maximumGoneHosts) {
-        this->goneHosts[id] = now;
+        this->goneHosts[id] = { now, isRemoved };
     }
 }
 
@@ -153,7 +154,7 @@
     // that it is in use, and a running host writes a valid entry again.
     // A copy of the store may have forgotten a draining host that still has open flows.
     if (found->second.entry.draining && !this->isCopied(removed.revision, now)) {
-        this->recordGone(removed.id, now);
+        this->recordGone(removed.id, true, now);
         this->known.erase(found);
         return Effect::HostsChanged;
     }
@@ -252,8 +253,53 @@
         change);
 }
 
-void HostDirectory::beginListing(std::optional<std::uint64_t> statedRevision)
+std::uint64_t HostDirectory::digest() const
 {
+    // A sum does not depend on the order. The seeds keep entries of hosts and of zones apart.
+    std::uint64_t sum = 1;
+    for (const auto& [id, host] : this->known) {
+        if (!host.missingSince || host.restored) {
+            sum += XXH3_64bits_withSeed(id.data(), id.size(), 2 * host.revision);
+        }
+    }
+    for (const auto& [zone, revision] : this->evacuations.storeRequests()) {
+        sum += XXH3_64bits_withSeed(zone.data(), zone.size(), 2 * revision + 1);
+    }
+    return std::max<std::uint64_t>(sum, 1);
+}
+
+bool HostDirectory::hasRetention(TimePoint now) const
+{
+    return this->evacuations.retentionEnd()
+        || std::any_of(this->known.begin(), this->known.end(),
+            [&](const auto& item) { return this->retention(item.second, now).has_value(); });
+}
+
+void HostDirectory::endMerge()
+{
+    this->isListing = false;
+    this->listed.clear();
+    this->listedGone.clear();
+}
+
+void HostDirectory::listGoneHost(const std::string& id) { this->listedGone.insert(id); }
+
+std::vector<std::string> HostDirectory::goneHostIds() const
+{
+    std::vector<std::string> ids;
+    ids.reserve(this->goneHosts.size());
+    for (const auto& [id, gone] : this->goneHosts) {
+        if (gone.isRemoved && !this->known.contains(id)) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+void HostDirectory::beginListing(std::optional<std::uint64_t> statedRevision, Source source)
+{
+    this->listingSource = source;
+    this->listedGone.clear();
     if (statedRevision && this->eraSince) {
         this->lowestEraRevision = std::min(*statedRevision, this->lowestEraRevision.value_or(*statedRevision));
     }
@@ -269,15 +315,17 @@
     // A copy of the store may have forgotten a draining host that still has open flows. It has not if the host's entry
     // was read in the present era.
     const bool mayBeForgotten = this->eraSince && host.revision == 0;
-    if (host.entry.draining && !mayBeForgotten) {
-        this->recordGone(id, now);
+    // A peer may lack a host for no reason.
+    const bool isRemoved = this->listingSource == Source::Store ? !mayBeForgotten : this->listedGone.contains(id);
+    if (host.entry.draining && isRemoved) {
+        this->recordGone(id, true, now);
         this->known.erase(found);
         return true;
     }
     host.restored = false;
     if (!host.missingSince) {
         host.missingSince = now;
-        host.forgotten = mayBeForgotten;
+        host.forgotten = !isRemoved;
     }
     return false;
 }
@@ -295,6 +343,7 @@
         changed = this->markAbsent(id, now) || changed;
     }
     this->listed.clear();
+    this->listedGone.clear();
     this->isListing = false;
     if (this->eraSince && !this->lowestEraRevision) {
         this->lowestEraRevision = revision;
@@ -356,11 +405,11 @@
             ++item;
             continue;
         }
-        this->recordGone(item->first, now);
+        this->recordGone(item->first, !host.forgotten, now);
         this->expiredHosts.push_back(item->first);
         item = this->known.erase(item);
     }
-    std::erase_if(this->goneHosts, [&](const auto& item) { return now - item.second > goneHostRetention; });
+    std::erase_if(this->goneHosts, [&](const auto& item) { return now - item.second.since > goneHostRetention; });
     return changed;
 }
 
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -58,6 +58,12 @@
         RefusedMalformed,
     };
 
+    // Where a listing comes from.
+    enum class Source {
+        Store,
+        Peer,
+    };
+
     Effect apply(const DirectoryChange&, TimePoint now);
 
     // Store revision up to which all changes are known; 0 before the first listing of the era.
@@ -113,16 +119,31 @@
     // stays in use for missingHostTimeout, because running hosts rewrite their entries within that time; a draining
     // host is removed at once, unless a copy may have forgotten it. statedRevision: the lowest revision that the source
     // of the listing knows the store to have stated in its present era, if it knows one.
-    void beginListing(std::optional<std::uint64_t> statedRevision = std::nullopt);
+    void beginListing(std::optional<std::uint64_t> statedRevision = std::nullopt, Source = Source::Store);
     // Returns whether hosts were removed or evacuations have ended.
     bool endListing(std::uint64_t revision, TimePoint now);
     // Ends a listing of which not all pages could be read, so that it does not show which hosts are missing.
     void abandonListing() { this->isListing = false; }
 
+    // Ends a listing whose entries only complete those known here.
+    void endMerge();
+
+    // Names a host that the source of the listing in progress, a peer, knows to have been removed from the store. The
+    // listing then shows removals only of these: any other host that it lacks counts as missing, also if it drains.
+    void listGoneHost(const std::string& id);
+
+    // Hosts that were removed from the store recently.
+    std::vector<std::string> goneHostIds() const;
+    bool isRecordedGone(const std::string& id) const { return this->goneHosts.contains(id); }
+
     // Whether every running host is known: the whole store has been read in the present era, and no host is missing.
     bool isComplete() const;
 
-    // Sets whether a peer has announced a newer state of the store.
+    // Digest of the entries that the store has at version(), as far as they are known; never 0. Balancers that know the
+    // same version completely have the same one.
+    std::uint64_t digest() const;
+
+    // Sets whether a peer has announced a newer state of the store, or other entries of the same one.
     void setBehind(bool isBehind) { this->behind = isBehind; }
 
     // Whether every running host that any balancer knows is known here. Only then does the absence of a flow from all
@@ -135,6 +156,9 @@
 
     bool hasColdHost(TimePoint now) const;
 
+    // Whether what an earlier era of the store said of a host or zone holds at present.
+    bool hasRetention(TimePoint now) const;
+
     // Removes hosts that have been missing for at least missingHostTimeout. Those that the copy of a later era has are
     // in use again once running hosts have had that time to write since the era began. Forgets routes that were removed
     // more than removedRouteRetention ago. Returns whether hosts or evacuated zones have changed.
@@ -193,7 +217,7 @@
     bool keepRestored(KnownHost&, TimePoint now) const;
     // Handles a host that a listing lacks. Returns whether the host was removed at once.
     bool markAbsent(const std::string& id, TimePoint now);
-    void recordGone(const std::string& id, TimePoint now);
+    void recordGone(const std::string& id, bool isRemoved, TimePoint now);
     Effect applyEvacuation(const EvacuationChanged&);
 
     void applyRoutes(const RouteTable&, TimePoint now);
@@ -210,9 +234,15 @@
     std::uint64_t knownRevision { 0 };
     std::optional<TimePoint> eraSince; // when the present era or correction began; unset in the first era
     std::optional<std::uint64_t> lowestEraRevision; // see eraRevision()
-    std::map<std::string, TimePoint> goneHosts; // hosts whose removal a copy of the store may have forgotten
+    struct GoneHost {
+        TimePoint since;
+        bool isRemoved { false }; // the removal of its entry is known; otherwise it was missing from a listing
+    };
+    std::map<std::string, GoneHost> goneHosts; // hosts whose removal a copy of the store may have forgotten
     bool isListing { false };
+    Source listingSource { Source::Store };
     std::set<std::string> listed;
+    std::set<std::string> listedGone;
     bool complete { false };
     std::optional<TimePoint> incompleteSince;
     std::vector<std::string> expiredHosts;
--- a/src/state/PeerBalancers.cpp
+++ b/src/state/PeerBalancers.cpp
@@ -23,6 +23,11 @@
 // the same ranking.
 std::uint64_t readerRank(const Endpoint& address) { return XXH3_64bits(&address.address, sizeof(address.address)); }
 
+bool differ(const BalancerState& left, const BalancerState& right)
+{
+    return left.version == right.version && left.digest != 0 && right.digest != 0 && left.digest != right.digest;
+}
+
 }
 
 PeerBalancers::PeerBalancers(const Endpoint& ownAddress)
@@ -118,6 +123,55 @@
     return newest;
 }
 
+bool PeerBalancers::isFetchable(const Peer& peer, TimePoint now) const
+{
+    return this->isLive(peer, now) && now >= peer.noFetchBefore;
+}
+
+bool PeerBalancers::isAnyDifferent(const BalancerState& own, TimePoint now) const
+{
+    return std::any_of(this->peers.begin(), this->peers.end(),
+        [&](const auto& item) { return this->isLive(item.second, now) && differ(item.second.state, own); });
+}
+
+bool PeerBalancers::isStoreAnsweringPeer(TimePoint now) const
+{
+    return std::any_of(this->peers.begin(), this->peers.end(),
+        [&](const auto& item) { return this->isLive(item.second, now) && item.second.state.storeAvailable; });
+}
+
+std::optional<Endpoint> PeerBalancers::referencePeer(const BalancerState& own, TimePoint now) const
+{
+    const std::pair<const Endpoint, Peer>* first = nullptr;
+    const std::pair<const Endpoint, Peer>* any = nullptr;
+    for (const auto& item : this->peers) {
+        const BalancerState& state = item.second.state;
+        if (state.storeAvailable && this->isLive(item.second, now)
+            && (first == nullptr || readerRank(item.first) < readerRank(first->first))) {
+            first = &item;
+        }
+        if (this->isFetchable(item.second, now) && differ(state, own)) {
+            any = &item;
+        }
+    }
+    if (own.storeAvailable && (first == nullptr || readerRank(this->self) < readerRank(first->first))) {
+        return std::nullopt;
+    }
+    if (first == nullptr) {
+        return any == nullptr ? std::nullopt : std::optional(any->first);
+    }
+    const bool usable = differ(first->second.state, own) && this->isFetchable(first->second, now);
+    return usable ? std::optional(first->first) : std::nullopt;
+}
+
+std::optional<Endpoint> PeerBalancers::peerWithNewerConfiguration(std::uint64_t version, TimePoint now) const
+{
+    const auto found = std::find_if(this->peers.begin(), this->peers.end(), [&](const auto& item) {
+        return this->isFetchable(item.second, now) && item.second.state.configuration > version;
+    });
+    return found == this->peers.end() ? std::nullopt : std::optional(found->first);
+}
+
 std::optional<Endpoint> PeerBalancers::newerPeer(const StoreVersion& version, TimePoint now) const
 {
     std::optional<Endpoint> newest;
@@ -125,7 +179,7 @@
     for (const auto& [address, peer] : this->peers) {
         // A peer has no state to offer while it lists the store after a correction.
         const bool hasState = peer.state.version.revision > 0;
-        if (this->isLive(peer, now) && now >= peer.noFetchBefore && hasState && peer.state.version > newestVersion) {
+        if (this->isFetchable(peer, now) && hasState && peer.state.version > newestVersion) {
             newest = address;
             newestVersion = peer.state.version;
         }
--- a/src/state/PeerBalancers.h
+++ b/src/state/PeerBalancers.h
@@ -18,6 +18,8 @@
     std::uint64_t incarnation { 0 }; // random number drawn at each start of the process
     StoreVersion version; // of the store, as known to the balancer
     bool storeAvailable { false }; // it reads the store directly and the store answers
+    std::uint64_t digest { 0 }; // of the entries known at the version, see HostDirectory::digest(); 0: not stated
+    std::uint64_t configuration { 0 }; // version in force
 };
 
 // The other balancers known to this one: from seeds, from their hellos, and from addresses reported by peers and
@@ -58,6 +60,20 @@
     // recently.
     std::optional<Endpoint> newerPeer(const StoreVersion&, TimePoint now) const;
 
+    // Whether a live peer has announced the same store version with other entries.
+    bool isAnyDifferent(const BalancerState& own, TimePoint now) const;
+
+    // The peer whose entries replace or complete those of this process, which differ from it at the same store version:
+    // the first reader, because the store answers it, or, if the store answers no balancer, any peer. Unset if the
+    // first reader has the same entries, is not at the same version, or is this process.
+    std::optional<Endpoint> referencePeer(const BalancerState& own, TimePoint now) const;
+
+    // Whether the store answers a live peer that reads it.
+    bool isStoreAnsweringPeer(TimePoint now) const;
+
+    // A live peer with a higher version of the configuration.
+    std::optional<Endpoint> peerWithNewerConfiguration(std::uint64_t version, TimePoint now) const;
+
     // The highest store version that a live peer has announced.
     StoreVersion newestVersion(TimePoint now) const;
 
@@ -75,6 +91,7 @@
     };
 
     bool isLive(const Peer&, TimePoint now) const;
+    bool isFetchable(const Peer&, TimePoint now) const;
 
     Endpoint self;
     std::vector<Endpoint> seeds;
--- a/test/integration/NodeProcessesTest.cpp
+++ b/test/integration/NodeProcessesTest.cpp
@@ -125,11 +125,18 @@
     }
 
     // Waits for a line of the balancer's log with the event and the field's value.
-    bool balancerLogs(const std::string& event, const std::string& field, const nlohmann::json& value)
+    bool balancerLogs(const std::string& event, const std::string& field, const nlohmann::json& value,
+        milliseconds timeout = seconds(10))
     {
-        const auto limit = std::chrono::steady_clock::now() + seconds(10);
+        return logs(*this->balancer, event, field, value, timeout);
+    }
+
+    static bool logs(ChildProcess& process, const std::string& event, const std::string& field,
+        const nlohmann::json& value, milliseconds timeout)
+    {
+        const auto limit = std::chrono::steady_clock::now() + timeout;
         while (std::chrono::steady_clock::now() < limit) {
-            for (const auto& line : this->balancer->events(event)) {
+            for (const auto& line : process.events(event)) {
                 if (line.value(field, nlohmann::json()) == value) {
                     return true;
                 }
@@ -183,6 +190,13 @@
         this->peer->waitForEvent("ready");
     }
 
+    // Waits for a line of the peer's log with the event and the field's value.
+    bool peerLogs(const std::string& event, const std::string& field, const nlohmann::json& value,
+        milliseconds timeout = seconds(10))
+    {
+        return logs(*this->peer, event, field, value, timeout);
+    }
+
     // The value of the backend server's entry.
     std::string hostValue(const std::string& state, int coldRemainingMs, std::int64_t born = 1790000000000) const
     {
@@ -524,6 +538,84 @@
     CHECK(SmallFleet::receive(fleet.hostSocket, milliseconds(100)).empty());
 }
 
+namespace {
+
+// Two balancers at the same version of the store, of which the peer lacks the backend server: it reads a store of its
+// own, which has another one in its place and does not answer any more.
+class GappedPeer {
+public:
+    GappedPeer()
+    {
+        this->store.write("op/config", SmallFleet::configuration(3, 1, R"("service":"job")"));
+        this->store.write("servers/i-9",
+            R"({"service":"job","address":"127.0.0.1:9","zone":"a","slots":2,"state":"ready","born":1})");
+        this->fleet.balancer.reset();
+        this->fleet.startPeerBalancer(this->storeAddress);
+        this->store.setDown(true);
+        this->fleet.peer->waitForEvent("store_lost");
+    }
+
+    SmallFleet fleet;
+    Endpoint storeAddress { this->fleet.network + 6, 8169 };
+    StoreStandin store { this->storeAddress };
+};
+
+// What a peer or the store has must be known within this time.
+constexpr milliseconds recoveryBound = seconds(3);
+
+}
+
+// Guards against FLOW: a balancer that lacks a host for good, since nothing changes in the store.
+TEST_CASE("a balancer with a gap takes over the entries of the reader at the same version [FLOW]")
+{
+    GappedPeer test;
+    test.fleet.startBalancer();
+    CHECK(test.fleet.peerLogs("host_changed", "host", "i-1", recoveryBound));
+    CHECK(test.fleet.peerLogs("host_expired", "host", "i-9"));
+    CHECK(test.fleet.balancer->events("peer_state_merged").empty());
+}
+
+// Guards against FLOW: a gap that a reader takes over from a peer when it starts, and passes on.
+TEST_CASE("a reader that starts with a peer's directory lists the store itself [FLOW]")
+{
+    GappedPeer test;
+    test.fleet.store.setPageItems(1);
+    test.fleet.store.setHoldingFurtherPages(true);
+    test.fleet.startBalancer("peer_state_taken");
+    test.fleet.store.setHoldingFurtherPages(false);
+    CHECK(test.fleet.balancerLogs("host_changed", "host", "i-1", recoveryBound));
+    test.fleet.checkServed(1);
+}
+
+// Guards against FLOW: a gap that stays while the store answers nobody.
+TEST_CASE("balancers complete their entries from each other while the store is down [FLOW]")
+{
+    GappedPeer test;
+    test.fleet.store.setHoldingWatches(true);
+    test.fleet.startBalancer();
+    test.fleet.peer->send(SIGSTOP);
+    test.fleet.store.setDown(true);
+    test.fleet.balancer->waitForEvent("store_lost");
+    test.fleet.peer->send(SIGCONT);
+    CHECK(test.fleet.peerLogs("host_changed", "host", "i-1", recoveryBound));
+    CHECK(test.fleet.balancerLogs("host_changed", "host", "i-9", recoveryBound));
+}
+
+// Guards against calls without a bound while two balancers read different stores, so that no listing ends the
+// difference.
+TEST_CASE("a difference that remains is resolved at a bounded rate of calls [cost]")
+{
+    GappedPeer test;
+    test.store.setDown(false);
+    test.fleet.startBalancer();
+    test.fleet.balancerLogs("state_difference", "step", "list store", recoveryBound);
+    const std::size_t before = test.fleet.store.calls() + test.store.calls();
+    usleep(5000000);
+    CHECK(test.fleet.store.calls() + test.store.calls() - before <= 2 * maximumCallsPerSecond * 5);
+    CHECK(test.fleet.balancer->events("state_difference").size() + test.fleet.peer->events("state_difference").size()
+        <= 10);
+}
+
 // Guards against a balancer that refuses everything that the store says until its revisions have passed a false one,
 // and that meanwhile calls it without a pause.
 TEST_CASE("a balancer recovers from a false revision, with few calls to the store [DRAIN]")
--- a/test/unit/PeerBalancerDirectoryTest.cpp
+++ b/test/unit/PeerBalancerDirectoryTest.cpp
@@ -130,3 +130,62 @@
     REQUIRE(second.size() == 1);
     CHECK(second != first);
 }
+
+// Guards against balancers with a gap that nobody notices while the store does not change, and against two balancers
+// that exchange their entries without end.
+TEST_CASE("entries that differ at the same version are taken from the first reader, or from any peer without one")
+{
+    constexpr std::uint32_t count = 5;
+    const StoreVersion version { 0, 50 };
+    std::vector<std::uint32_t> order { 1, 2, 3, 4, 5 }; // by the order of readers
+    const auto readersBefore = [&](std::uint32_t self) {
+        PeerBalancers peers(balancer(self));
+        for (std::uint32_t peer = 1; peer <= count; ++peer) {
+            peers.recordHello(balancer(peer), { 1, version, true }, start);
+        }
+        return peers.readersBefore(start);
+    };
+    std::sort(order.begin(), order.end(),
+        [&](std::uint32_t left, std::uint32_t right) { return readersBefore(left) < readersBefore(right); });
+    const auto reference = [&](std::uint32_t self, const std::vector<BalancerState>& states) {
+        PeerBalancers peers(balancer(self));
+        BalancerState own;
+        for (std::size_t index = 0; index < states.size(); ++index) {
+            if (order[index] == self) {
+                own = states[index];
+            }
+            peers.recordHello(balancer(order[index]), states[index], start);
+        }
+        REQUIRE(peers.isAnyDifferent(own, start));
+        return peers.referencePeer(own, start);
+    };
+    const BalancerState reader { 1, version, true, 7 };
+    const BalancerState other { 1, version, false, 7 };
+    const BalancerState differentReader { 1, version, true, 8 };
+    const BalancerState different { 1, version, false, 8 };
+    // A balancer that does not read the store has a gap: it alone takes the first reader's entries.
+    CHECK(reference(order[4], { reader, reader, reader, other, different }) == balancer(order[0]));
+    CHECK_FALSE(reference(order[0], { reader, reader, reader, other, different }));
+    CHECK_FALSE(reference(order[3], { reader, reader, reader, other, different }));
+    // The first reader has one: the others differ from it until it has listed the store.
+    CHECK(reference(order[1], { differentReader, reader, reader, other, other }) == balancer(order[0]));
+    CHECK_FALSE(reference(order[0], { differentReader, reader, reader, other, other }));
+    // The store answers nobody.
+    CHECK(reference(order[0], { other, other, other, other, different }) == balancer(order[4]));
+    CHECK(reference(order[4], { other, other, other, other, different }).has_value());
+}
+
+TEST_CASE("only live peers that state a digest for the same version count as different")
+{
+    PeerBalancers peers(balancer(1));
+    const BalancerState own { 1, { 1, 50 }, true, 7, 3 };
+    peers.recordHello(balancer(2), { 1, { 1, 50 }, true, 0, 3 }, start); // of an earlier version of the program
+    peers.recordHello(balancer(3), { 1, { 1, 51 }, true, 8, 3 }, start);
+    peers.recordHello(balancer(4), { 1, { 2, 50 }, true, 8, 4 }, start);
+    CHECK_FALSE(peers.isAnyDifferent(own, start));
+    CHECK(peers.peerWithNewerConfiguration(3, start) == balancer(4));
+    CHECK_FALSE(peers.peerWithNewerConfiguration(4, start));
+    peers.recordHello(balancer(5), { 1, { 1, 50 }, true, 8, 3 }, start);
+    CHECK(peers.isAnyDifferent(own, start));
+    CHECK_FALSE(peers.isAnyDifferent(own, start + seconds(2)));
+}
--- a/test/unit/StoreEraTest.cpp
+++ b/test/unit/StoreEraTest.cpp
@@ -49,7 +49,10 @@
     const auto snapshot = decodeSnapshot(encodeSnapshot(peer, now));
     REQUIRE(snapshot);
     directory.follow(snapshot->version, now);
-    directory.beginListing(snapshot->eraRevision);
+    directory.beginListing(snapshot->eraRevision, HostDirectory::Source::Peer);
+    for (const std::string& host : snapshot->goneHosts) {
+        directory.listGoneHost(host);
+    }
     for (const RetainedZone& zone : snapshot->retainedZones) {
         directory.applyRetainedZone(zone, snapshot->zoneRetention, now);
     }
--- a/test/unit/StoreOrderTest.cpp
+++ b/test/unit/StoreOrderTest.cpp
@@ -97,6 +97,53 @@
     CHECK(find(directory, "b"));
 }
 
+// Guards against FLOW: a balancer removes a draining host with open flows, or a running one that comes back only with
+// the next change of its entry, because a peer's directory lacks it for no reason.
+TEST_CASE("a host that only a peer's directory lacks is missing, and any later directory with its entry returns it")
+{
+    HostDirectory directory = listed({ written("a", 5), written("b", 6, true), written("c", 7, true) }, 7);
+    directory.beginListing(std::nullopt, HostDirectory::Source::Peer);
+    directory.listGoneHost("c");
+    directory.endListing(9, start);
+    CHECK(find(directory, "a"));
+    CHECK(find(directory, "b"));
+    CHECK_FALSE(find(directory, "c"));
+    CHECK_FALSE(directory.isComplete());
+    directory.beginListing();
+    directory.apply(written("a", 5), start + milliseconds(500));
+    directory.apply(written("b", 6, true), start + milliseconds(500));
+    directory.endListing(9, start + milliseconds(500));
+    directory.expire(start + HostDirectory::missingHostTimeout);
+    CHECK(find(directory, "a"));
+    CHECK(find(directory, "b"));
+    CHECK(directory.isComplete());
+}
+
+// Guards against a difference between balancers that none of them notices, and against one that does not exist.
+TEST_CASE("directories of the same entries have the same digest, in whatever order these arrived")
+{
+    HostDirectory byListing = listed({ written("a", 5), written("b", 6) }, 6);
+    HostDirectory byChanges = listed({ written("b", 4), written("x", 3) }, 4);
+    byChanges.apply(written("a", 5), start);
+    byChanges.apply(HostRemoved { "x", false, 5 }, start);
+    byChanges.apply(written("b", 6), start);
+    byChanges.advanceTo(6);
+    CHECK(byListing.digest() == byChanges.digest());
+    CHECK(byListing.digest() != listed({ written("a", 5) }, 6).digest());
+    CHECK(byListing.digest() != listed({ written("a", 5), written("b", 5) }, 6).digest());
+    HostDirectory byPeer;
+    const auto snapshot = decodeSnapshot(encodeSnapshot(byListing, start));
+    REQUIRE(snapshot);
+    byPeer.beginListing(snapshot->eraRevision, HostDirectory::Source::Peer);
+    for (const DirectoryChange& change : snapshot->changes) {
+        byPeer.apply(change, start);
+    }
+    byPeer.endListing(6, start);
+    CHECK(byPeer.digest() == byListing.digest());
+    byListing.apply(EvacuationChanged { "a", true, 7 }, start);
+    CHECK(byPeer.digest() != byListing.digest());
+}
+
 // Guards against a live host that no listing can return to use, because its entry is older than the listing.
 TEST_CASE("a listing contains hosts whose entries have not changed for long")
 {
@@ -288,7 +335,10 @@
         if (snapshot->version.revision <= balancer.directory.revision()) {
             return;
         }
-        balancer.directory.beginListing();
+        balancer.directory.beginListing(snapshot->eraRevision, HostDirectory::Source::Peer);
+        for (const std::string& host : snapshot->goneHosts) {
+            balancer.directory.listGoneHost(host);
+        }
         this->apply(balancer, snapshot->changes);
         balancer.directory.endListing(snapshot->version.revision, this->now);
         if (balancer.listing) {
