--- a/src/app/DirectorySnapshot.cpp
+++ b/src/app/DirectorySnapshot.cpp
@@ -146,6 +146,7 @@
         item.set_cold_starts_per_second(limits.coldStartsPerSecond);
     }
     snapshot.set_incomplete(!directory.isComplete());
+    snapshot.set_partial(!directory.isWhole());
     writeZones(directory.evacuatedZones(), now, snapshot);
     for (const std::string& id : directory.goneHostIds()) {
         snapshot.add_gone_hosts(id);
@@ -170,6 +171,7 @@
     DirectorySnapshot result;
     result.version = { snapshot.era(), snapshot.revision(), snapshot.correction() };
     result.incomplete = snapshot.incomplete();
+    result.partial = snapshot.partial();
     if (snapshot.has_era_revision()) {
         result.eraRevision = snapshot.era_revision();
     }
--- a/src/app/DirectorySnapshot.h
+++ b/src/app/DirectorySnapshot.h
@@ -23,6 +23,7 @@
     std::chrono::milliseconds zoneRetention { 0 }; // how much longer these are retained
     std::vector<std::string> goneHosts; // ids of hosts that were removed from the store recently
     std::optional<std::uint64_t> eraRevision; // see HostDirectory::eraRevision()
+    bool partial { false }; // running hosts may be left out for good
     bool listsZones { false }; // false: of a version that does not know evacuations
 };
 
--- a/src/app/StoreReader.cpp
+++ b/src/app/StoreReader.cpp
@@ -198,7 +198,12 @@
     if (snapshot.incomplete) {
         this->directory.markIncomplete(now);
     }
-    this->endListing(snapshot.version.revision, now);
+    if (snapshot.partial) {
+        this->directory.abandonListing(snapshot.version.revision);
+        this->onChange();
+    } else {
+        this->endListing(snapshot.version.revision, now);
+    }
     this->log.log(EventLog::Importance::Notable, "peer_state_taken",
         { { "peer", formatEndpoint(this->fetchPeer) },
             { "revision", static_cast<std::int64_t>(snapshot.version.revision) },
@@ -523,8 +528,7 @@
     this->listing = false;
     this->verified = true;
     if (answer.incomplete) {
-        this->directory.abandonListing();
-        this->directory.advanceTo(this->listRevision);
+        this->directory.abandonListing(this->listRevision);
         this->onChange();
         // No host is missing from a listing whose further pages cannot be requested.
         this->metrics.refusals("read store", "listing_incomplete").Increment();
--- a/src/state/HostDirectory.cpp
+++ b/src/state/HostDirectory.cpp
@@ -275,6 +275,13 @@
             [&](const auto& item) { return this->retention(item.second, now).has_value(); });
 }
 
+void HostDirectory::abandonListing(std::uint64_t revision)
+{
+    this->endMerge();
+    this->complete = false;
+    this->advanceTo(revision);
+}
+
 void HostDirectory::endMerge()
 {
     this->isListing = false;
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -122,8 +122,12 @@
     void beginListing(std::optional<std::uint64_t> statedRevision = std::nullopt, Source = Source::Store);
     // Returns whether hosts were removed or evacuations have ended.
     bool endListing(std::uint64_t revision, TimePoint now);
-    // Ends a listing of which not all pages could be read, so that it does not show which hosts are missing.
-    void abandonListing() { this->isListing = false; }
+    // Ends a listing of which not all pages could be read, or a peer's that follows from one, so that it does not show
+    // which hosts are missing.
+    void abandonListing(std::uint64_t revision);
+
+    // Whether the whole store has been read in the present era, by this process or by the peer whose state was taken.
+    bool isWhole() const { return this->complete; }
 
     // Ends a listing whose entries only complete those known here.
     void endMerge();
--- a/test/integration/NodeProcessesTest.cpp
+++ b/test/integration/NodeProcessesTest.cpp
@@ -601,6 +601,23 @@
     CHECK(test.fleet.balancerLogs("host_changed", "host", "i-9", recoveryBound));
 }
 
+// Guards against CONFIG: the store has come back from a copy with an older configuration, and a balancer that starts
+// uses it, although its peers have a newer one in force.
+TEST_CASE("a balancer that starts takes a newer configuration than the store's from its peers [CONFIG]")
+{
+    GappedPeer test;
+    test.store.setDown(false);
+    test.store.write("op/config", SmallFleet::configuration(9, 2, R"("service":"job")"));
+    CHECK(test.fleet.peerLogs("configuration_in_force", "configuration", 9));
+    test.store.setDown(true);
+    test.fleet.store.restoreCopy(); // a later era, so that the peer has no newer state
+    test.fleet.store.write("op/config", SmallFleet::configuration(3, 1, R"("service":"job")"));
+    test.fleet.store.write("servers/i-1", test.fleet.hostValue("ready", 0));
+    test.fleet.startBalancer();
+    CHECK(test.fleet.balancerLogs("configuration_in_force", "configuration", 9, recoveryBound));
+    test.fleet.checkServed(2);
+}
+
 // Guards against calls without a bound while two balancers read different stores, so that no listing ends the
 // difference.
 TEST_CASE("a difference that remains is resolved at a bounded rate of calls [cost]")
@@ -697,8 +714,8 @@
     fleet.checkServed(1);
 }
 
-// Guards against an agent that refuses new flows until something else changes in the store: the end of the retention comes
-// without a new version of the store.
+// Guards against an agent that refuses new flows until something else changes in the store: the end of the retention
+// comes without a new version of the store.
 TEST_CASE("an evacuation that the copy has forgotten ends at the agent, too [LOST]")
 {
     SmallFleet fleet;
--- a/test/unit/StoreEraTest.cpp
+++ b/test/unit/StoreEraTest.cpp
@@ -62,7 +62,11 @@
     if (snapshot->incomplete) {
         directory.markIncomplete(now);
     }
-    directory.endListing(snapshot->version.revision, now);
+    if (snapshot->partial) {
+        directory.abandonListing(snapshot->version.revision);
+    } else {
+        directory.endListing(snapshot->version.revision, now);
+    }
 }
 
 }
@@ -516,3 +520,21 @@
         }
     }
 }
+
+// Guards against FLOW: a balancer that has not read all pages of the store passes its hosts on as all hosts.
+TEST_CASE("what has not been read as a whole is not passed on as whole")
+{
+    HostDirectory peer;
+    peer.beginListing(60);
+    peer.apply(written("a", 50), start);
+    peer.abandonListing(60);
+    CHECK_FALSE(peer.isComplete());
+    HostDirectory other;
+    list(other, { written("a", 50), written("b", 51) }, 55, start);
+    take(other, peer, start);
+    other.expire(start + seconds(5));
+    CHECK(find(other, "b"));
+    CHECK_FALSE(other.isComplete());
+    list(other, { written("a", 50), written("b", 51) }, 60, start);
+    CHECK(other.isComplete());
+}
