--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -163,7 +163,7 @@
     const auto reference = this->peers.referencePeer(this->announced, now);
     const bool isFirstReader = listsStore && this->peers.readersBefore(now) == 0;
     if (!reference && !isFirstReader) {
-        return; // the others are about to change
+        return; // the first reader has the same entries, so that the balancers which differ from it take them
     }
     this->resolutionDelay = std::clamp(this->resolutionDelay * 2, minimumResolutionDelay, maximumResolutionDelay);
     this->nextResolution = now + this->resolutionDelay;
@@ -201,7 +201,8 @@
     } else {
         this->differentSince.reset();
     }
-    // A peer with other entries is heard of within two hellos.
+    // A peer with other entries is heard of within two hellos. Until then this process may have a gap without knowing
+    // it.
     const bool isCompared = this->listedSince && now - *this->listedSince >= 2 * helloInterval;
     this->directory.setBehind(behind || different || !isCompared);
 }
--- a/src/app/StoreReader.h
+++ b/src/app/StoreReader.h
@@ -77,7 +77,7 @@
     void startCall(TimePoint now);
     void onResult(const HttpExchange::Result&);
     void onFetched(const HttpExchange::Result&);
-    // Replaces the directory by a peer's.
+    // Puts a peer's directory in place of the one known here.
     void replaceState(const DirectorySnapshot&, TimePoint now);
     // Adds what only the peer's directory of the same version has.
     void completeState(const DirectorySnapshot&, TimePoint now);
@@ -123,8 +123,7 @@
     TimePoint fetchDeadline;
     FetchPurpose fetchPurpose { FetchPurpose::Newer };
     Role role { Role::Reader };
-    // The directory follows from a listing of the store and the changes since, all read by this process.
-    bool verified { false };
+    bool verified { false }; // the directory has a listing of the store and the changes since, all read by this process
     bool answered { false };
     TimePoint exchangeDeadline; // of the store call in progress
     TimePoint callStart; // of the last store call
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -126,10 +126,10 @@
     // which hosts are missing.
     void abandonListing(std::uint64_t revision);
 
-    // Whether the whole store has been read in the present era, by this process or by the peer whose state was taken.
+    // Whether this process, or the peer whose state it has taken, has read the whole store in the present era.
     bool isWhole() const { return this->complete; }
 
-    // Ends a listing whose entries only complete those known here.
+    // Ends a listing whose entries are only added to those known here: no host counts as missing.
     void endMerge();
 
     // Names a host that the source of the listing in progress, a peer, knows to have been removed from the store. The
@@ -196,7 +196,8 @@
     // came back from a copy, says that they are gone.
     std::vector<const KnownHost*> withheldHosts() const;
 
-    // For how much longer what an earlier era said of the host holds, or of what kind it is; unset if it does not.
+    // What an earlier era of the store, or a removal before it came back, says of the host in place of the entry, and
+    // for how much longer. Unset if the entry holds.
     std::optional<HostRetention> retention(const KnownHost&, TimePoint now) const;
 
     // Maximum lifetime of a flow on the users' platform; older flows need no answer.
@@ -214,10 +215,12 @@
     bool retain(KnownHost&, const std::string& id, bool wasDraining, bool isCopied) const;
     // Whether an entry with the revision may come from an older copy of the store.
     bool mayBeCopied(std::uint64_t revision) const;
-    // The same, while what the copy has forgotten may not have been written again.
+    // Whether it may, and running hosts may not have written again yet what the copy has forgotten.
     bool isCopied(std::uint64_t revision, TimePoint now) const;
+    // Takes over what a peer retains of the host, unless this process retains something itself. Returns whether it has.
     static bool takeRetention(KnownHost&, const HostWritten&, TimePoint now);
-    // Handles a host that has been missing for missingHostTimeout. Returns whether it is kept.
+    // Ends the absence of a host that has been missing for missingHostTimeout, if the store has its entry again.
+    // Returns whether it has.
     bool keepRestored(KnownHost&, TimePoint now) const;
     // Handles a host that a listing lacks. Returns whether the host was removed at once.
     bool markAbsent(const std::string& id, TimePoint now);
@@ -240,7 +243,7 @@
     std::optional<std::uint64_t> lowestEraRevision; // see eraRevision()
     struct GoneHost {
         TimePoint since;
-        bool isRemoved { false }; // the removal of its entry is known; otherwise it was missing from a listing
+        bool isRemoved { false }; // the removal of its entry is known; otherwise listings lacked it
     };
     std::map<std::string, GoneHost> goneHosts; // hosts whose removal a copy of the store may have forgotten
     bool isListing { false };
