No open flow counts as lost while a peer waits for hosts to write their entries again

Callers would see: open flows of a running host are reset by a balancer that starts within 2 s of the store's return from a copy that lacks the host. Cause: such a balancer lists the store before the host has written again. Its peers know the host, as missing; it does not, has the same entries as they have, and counted as complete. Change: hellos say that the sender waits for hosts whose entries are missing or withheld. Test: PeerBalancerDirectoryTest, "no balancer counts as current while a live peer waits ..." fails with the condition left out (1 check).

--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -204,7 +204,7 @@
     // A peer with other entries is heard of within two hellos. Until then this process may have a gap without knowing
     // it.
     const bool isCompared = this->listedSince && now - *this->listedSince >= 2 * helloInterval;
-    this->directory.setBehind(behind || different || !isCompared);
+    this->directory.setBehind(behind || different || !isCompared || this->peers.isAnyAwaitingHosts(now));
 }
 
 void BalancerNode::logSelections()
@@ -415,7 +415,7 @@
     const bool isWhole = this->directory.isListed() && this->directory.versionBegun() == this->directory.version();
     const std::uint64_t before = this->announced.digest;
     this->announced = { this->incarnation, this->directory.version(), this->reader.available(),
-        isWhole ? this->directory.digest() : 0, this->directory.routes().version };
+        isWhole ? this->directory.digest() : 0, this->directory.routes().version, this->directory.awaitsHosts() };
     // A snapshot says how much longer hosts are cold or what an earlier era said of them holds.
     if (this->snapshot.version() != this->directory.version() || this->announced.digest != before
         || this->directory.hasColdHost(now) || this->directory.hasRetention(now)) {
--- a/src/state/HostDirectory.cpp
+++ b/src/state/HostDirectory.cpp
@@ -360,12 +360,16 @@
     return changed;
 }
 
+bool HostDirectory::awaitsHosts() const
+{
+    return std::any_of(this->known.begin(), this->known.end(),
+        [](const auto& item) { return item.second.missingSince.has_value() || item.second.isGone(); });
+}
+
 bool HostDirectory::isComplete() const
 {
     // While the entry of a known host is missing, those of running hosts that this process has not read may be, too.
-    return this->complete && !this->incompleteSince
-        && std::none_of(this->known.begin(), this->known.end(),
-            [](const auto& item) { return item.second.missingSince.has_value() || item.second.isGone(); });
+    return this->complete && !this->incompleteSince && !this->awaitsHosts();
 }
 
 bool HostDirectory::hasColdHost(TimePoint now) const
--- a/src/state/HostDirectory.h
+++ b/src/state/HostDirectory.h
@@ -140,6 +140,9 @@
     std::vector<std::string> goneHostIds() const;
     bool isRecordedGone(const std::string& id) const { return this->goneHosts.contains(id); }
 
+    // Whether hosts that may be running have no usable entry in the store, or are withheld.
+    bool awaitsHosts() const;
+
     // Whether every running host is known: the whole store has been read in the present era, and no host is missing.
     bool isComplete() const;
 
@@ -147,7 +150,8 @@
     // same version completely have the same one.
     std::uint64_t digest() const;
 
-    // Sets whether a peer has announced a newer state of the store, or other entries of the same one.
+    // Sets whether a peer knows, or may know, a host that is not known here: it has announced a newer state of the
+    // store, other entries of the same one, or hosts whose entries are missing there.
     void setBehind(bool isBehind) { this->behind = isBehind; }
 
     // Whether every running host that any balancer knows is known here. Only then does the absence of a flow from all
--- a/src/state/PeerBalancers.cpp
+++ b/src/state/PeerBalancers.cpp
@@ -134,6 +134,12 @@
         [&](const auto& item) { return this->isLive(item.second, now) && differ(item.second.state, own); });
 }
 
+bool PeerBalancers::isAnyAwaitingHosts(TimePoint now) const
+{
+    return std::any_of(this->peers.begin(), this->peers.end(),
+        [&](const auto& item) { return this->isLive(item.second, now) && item.second.state.awaitsHosts; });
+}
+
 bool PeerBalancers::isStoreAnsweringPeer(TimePoint now) const
 {
     return std::any_of(this->peers.begin(), this->peers.end(),
--- a/src/state/PeerBalancers.h
+++ b/src/state/PeerBalancers.h
@@ -20,6 +20,7 @@
     bool storeAvailable { false }; // it reads the store directly and the store answers
     std::uint64_t digest { 0 }; // of the entries known at the version, see HostDirectory::digest(); 0: not stated
     std::uint64_t configuration { 0 }; // version in force
+    bool awaitsHosts { false }; // it knows hosts without a usable entry in the store, which may be running
 };
 
 // The other balancers known to this one: from seeds, from their hellos, and from addresses reported by peers and
@@ -63,6 +64,10 @@
     // Whether a live peer has announced the same store version with other entries.
     bool isAnyDifferent(const BalancerState& own, TimePoint now) const;
 
+    // Whether a live peer knows hosts that may be running and that the store has no usable entry of, so that this
+    // process may not know them.
+    bool isAnyAwaitingHosts(TimePoint now) const;
+
     // The peer whose entries replace or complete those of this process, which differ from it at the same store version:
     // the first reader, because the store answers it, or, if the store answers no balancer, any peer. Unset if the
     // first reader has the same entries, is not at the same version, or is this process.
--- a/test/unit/PeerBalancerDirectoryTest.cpp
+++ b/test/unit/PeerBalancerDirectoryTest.cpp
@@ -189,3 +189,38 @@
     CHECK(peers.isAnyDifferent(own, start));
     CHECK_FALSE(peers.isAnyDifferent(own, start + seconds(2)));
 }
+
+// Guards against FLOW: a balancer that starts soon after the store has come back from a copy lists it before a running
+// host has written its entry again, takes its hosts for all hosts, and resets the open flows of this host.
+TEST_CASE("no balancer counts as current while a live peer waits for hosts to write their entries again")
+{
+    const auto back = start + seconds(4);
+    const auto entry = [](const std::string& id) {
+        return HostWritten { { id, "job", { 5, 8080 }, "zone", 2, false, {}, 1 }, 40 };
+    };
+    const auto list = [&](HostDirectory& directory, const std::vector<std::string>& ids, PeerBalancers::TimePoint now) {
+        directory.beginListing(50);
+        for (const std::string& id : ids) {
+            directory.apply(entry(id), now);
+        }
+        directory.endListing(50, now);
+    };
+    HostDirectory peer;
+    list(peer, { "a", "b" }, start);
+    peer.beginEra(1, back);
+    list(peer, { "a" }, back);
+    HostDirectory started;
+    started.beginEra(1, back);
+    list(started, { "a" }, back);
+    CHECK(peer.digest() == started.digest());
+    PeerBalancers peers(balancer(1));
+    const auto update = [&](PeerBalancers::TimePoint now) {
+        peer.expire(now);
+        peers.recordHello(balancer(2), { 1, peer.version(), true, peer.digest(), 3, peer.awaitsHosts() }, now);
+        started.setBehind(peers.isAnyAwaitingHosts(now));
+    };
+    update(back);
+    CHECK_FALSE(started.isCurrent());
+    update(back + HostDirectory::missingHostTimeout);
+    CHECK(started.isCurrent());
+}
