Readers that have had no answer since another one lost the store are doubled

Cause: a balancer counted as a reader until its call had failed, up to 3.5 s later, and only one more began to read the store in the place of the first that failed. Change: hellos say how long ago the store answered. After a peer has announced the loss of the store, readers without an answer since are doubled until they have had one, for at most 4 s and up to twice the number of readers. A reader announces its loss at once. Test: PeerBalancerDirectoryTest, "after a reader has lost the store ...".

--- a/src/app/BalancerNode.cpp
+++ b/src/app/BalancerNode.cpp
@@ -184,7 +184,7 @@
 void BalancerNode::synchronizeWithPeers(TimePoint now)
 {
     const std::size_t readersBefore = this->peers.readersBefore(now);
-    const bool isReader = readersBefore < PeerBalancers::maximumReaders;
+    const bool isReader = this->peers.isReader(now);
     if (isReader) {
         this->reader.setRole(readersBefore == 0 ? StoreReader::Role::FirstReader : StoreReader::Role::Reader);
     } else {
@@ -415,7 +415,9 @@
     const bool isWhole = this->directory.isListed() && this->directory.versionBegun() == this->directory.version();
     const std::uint64_t before = this->announced.digest;
     this->announced = { this->incarnation, this->directory.version(), this->reader.available(),
-        isWhole ? this->directory.digest() : 0, this->directory.routes().version, this->directory.awaitsHosts() };
+        isWhole ? this->directory.digest() : 0, this->directory.routes().version,
+        std::chrono::duration_cast<milliseconds>(now - this->reader.lastAnswer().value_or(now)),
+        this->directory.awaitsHosts() };
     // A snapshot says how much longer hosts are cold or what an earlier era said of them holds.
     if (this->snapshot.version() != this->directory.version() || this->announced.digest != before
         || this->directory.hasColdHost(now) || this->directory.hasRetention(now)) {
@@ -474,8 +476,9 @@
         this->nextExpiry = now + expiryInterval;
         this->expireHosts(now);
     }
-    if (now >= this->nextHello) {
-        this->sendHellos(now);
+    const bool lostStore = this->announced.storeAvailable && !this->reader.available();
+    if (now >= this->nextHello || lostStore) {
+        this->sendHellos(now); // others have to read the store at once in place of a reader that has lost it
     }
     if (now >= this->steering.nextTick()) {
         this->steering.tick(now, this->actions);
--- a/src/app/SteeringMessages.cpp
+++ b/src/app/SteeringMessages.cpp
@@ -163,6 +163,7 @@
     hello.set_store_available(message.state.storeAvailable);
     hello.set_digest(message.state.digest);
     hello.set_configuration_version(message.state.configuration);
+    hello.set_store_answer_age_ms(static_cast<std::uint32_t>(message.state.storeAnswerAge.count()));
     hello.set_awaits_hosts(message.state.awaitsHosts);
     hello.set_zones_settled(message.areZonesSettled);
     hello.mutable_balancers()->Add(message.balancers.begin(), message.balancers.end());
@@ -208,7 +209,7 @@
         const wire::BalancerHello& hello = this->header->hello();
         return HelloMessage { { hello.lifetime(), { hello.era(), hello.revision(), hello.correction() },
                                   hello.store_available(), hello.digest(), hello.configuration_version(),
-                                  hello.awaits_hosts() },
+                                  std::chrono::milliseconds(hello.store_answer_age_ms()), hello.awaits_hosts() },
             { hello.balancers().begin(), hello.balancers().end() },
             { hello.evacuated_zones().begin(), hello.evacuated_zones().end() }, hello.zones_settled() };
     }
--- a/src/app/StoreReader.cpp
+++ b/src/app/StoreReader.cpp
@@ -291,7 +291,7 @@
 {
     this->backoff = milliseconds(0);
     this->nextCall = now;
-    this->answered = true;
+    this->answeredAt = now;
     if (this->unavailable) {
         this->unavailable = false;
         this->log.log(EventLog::Importance::Notable, "store_regained",
--- a/src/app/StoreReader.h
+++ b/src/app/StoreReader.h
@@ -68,7 +68,10 @@
     bool isFetching() const { return this->fetch != nullptr; }
 
     // Whether the last store call succeeded; false until the first success.
-    bool available() const { return this->answered && !this->unavailable; }
+    bool available() const { return this->answeredAt && !this->unavailable; }
+
+    // Time of the store's last answer; unset until the first one.
+    std::optional<TimePoint> lastAnswer() const { return this->answeredAt; }
 
     // Sets the store address for subsequent calls.
     void setStore(const Endpoint& address) { this->store = address; }
@@ -124,7 +127,7 @@
     FetchPurpose fetchPurpose { FetchPurpose::Newer };
     Role role { Role::Reader };
     bool verified { false }; // the directory has a listing of the store and the changes since, all read by this process
-    bool answered { false };
+    std::optional<TimePoint> answeredAt;
     TimePoint exchangeDeadline; // of the store call in progress
     TimePoint callStart; // of the last store call
     std::uint64_t callRevision { 0 }; // revision that was known at that time
--- a/src/state/PeerBalancers.cpp
+++ b/src/state/PeerBalancers.cpp
@@ -13,6 +13,9 @@
 // A restarted peer is back within a few seconds; a replaced peer has a different address.
 constexpr std::chrono::seconds peerExpiry { 20 };
 
+// A call of a reader to the store ends after at most 3.5 s with an answer or as failed, and its hello follows.
+constexpr std::chrono::milliseconds longestSilence { 4000 };
+
 // After a failed fetch, other peers or the store are tried first for this long.
 constexpr std::chrono::milliseconds fetchRetryDelay { 2000 };
 
@@ -49,10 +52,13 @@
     }
     Peer& peer = this->peers[address];
     // Datagrams may arrive late. Within one incarnation the version never decreases, so a lower one is outdated.
-    const bool older
-        = peer.helloReceived && peer.state.incarnation == state.incarnation && state.version < peer.state.version;
-    if (!older) {
+    const bool isSameRun = peer.helloReceived && peer.state.incarnation == state.incarnation;
+    if (!isSameRun || state.version >= peer.state.version) {
+        if (isSameRun && peer.state.storeAvailable && !state.storeAvailable) {
+            this->readerLostAt = now;
+        }
         peer.state = state;
+        peer.storeAnsweredAt = now - state.storeAnswerAge;
     }
     peer.lastHelloAt = now;
     peer.helloReceived = true;
@@ -103,15 +109,33 @@
     return addresses;
 }
 
+bool PeerBalancers::isConfirmed(const Peer& peer, TimePoint now) const
+{
+    return !this->readerLostAt || now - *this->readerLostAt > longestSilence
+        || peer.storeAnsweredAt >= *this->readerLostAt;
+}
+
+bool PeerBalancers::isReaderBefore(const std::pair<const Endpoint, Peer>& peer, TimePoint now) const
+{
+    return this->isLive(peer.second, now) && peer.second.state.storeAvailable
+        && readerRank(peer.first) < readerRank(this->self);
+}
+
 std::size_t PeerBalancers::readersBefore(TimePoint now) const
 {
-    const std::uint64_t own = readerRank(this->self);
-    const auto before = std::count_if(this->peers.begin(), this->peers.end(), [&](const auto& item) {
-        return this->isLive(item.second, now) && item.second.state.storeAvailable && readerRank(item.first) < own;
-    });
+    const auto before = std::count_if(
+        this->peers.begin(), this->peers.end(), [&](const auto& item) { return this->isReaderBefore(item, now); });
     return static_cast<std::size_t>(before);
 }
 
+bool PeerBalancers::isReader(TimePoint now) const
+{
+    const auto confirmed = std::count_if(this->peers.begin(), this->peers.end(),
+        [&](const auto& item) { return this->isReaderBefore(item, now) && this->isConfirmed(item.second, now); });
+    // Twice the number bounds the calls while the store answers nobody.
+    return static_cast<std::size_t>(confirmed) < maximumReaders && this->readersBefore(now) < 2 * maximumReaders;
+}
+
 StoreVersion PeerBalancers::newestVersion(TimePoint now) const
 {
     StoreVersion newest;
--- a/src/state/PeerBalancers.h
+++ b/src/state/PeerBalancers.h
@@ -20,6 +20,7 @@
     bool storeAvailable { false }; // it reads the store directly and the store answers
     std::uint64_t digest { 0 }; // of the entries known at the version, see HostDirectory::digest(); 0: not stated
     std::uint64_t configuration { 0 }; // version in force
+    std::chrono::milliseconds storeAnswerAge { 0 }; // time since the store's last answer to the balancer
     bool awaitsHosts { false }; // it knows hosts without a usable entry in the store, which may be running
 };
 
@@ -51,8 +52,10 @@
     // Returns up to `limit` live peers, to be reported to peers that may not know them.
     std::vector<Endpoint> livePeers(TimePoint now, std::size_t limit) const;
 
-    // Whether this process reads the store. Only a few balancers do; the others fetch changes from them.
-    bool isReader(TimePoint now) const { return this->readersBefore(now) < maximumReaders; }
+    // Whether this process reads the store. Only a few balancers do; the others fetch changes from them. After one of
+    // them has lost the store, those that have not had an answer since may have lost it, too, and are doubled by others
+    // until they have had one.
+    bool isReader(TimePoint now) const;
 
     // Number of live peers that reach the store and are before this process in the order of readers.
     std::size_t readersBefore(TimePoint now) const;
@@ -89,6 +92,7 @@
 private:
     struct Peer {
         BalancerState state;
+        TimePoint storeAnsweredAt;
         TimePoint lastHelloAt;
         TimePoint lastReportedAt;
         TimePoint noFetchBefore;
@@ -97,10 +101,14 @@
 
     bool isLive(const Peer&, TimePoint now) const;
     bool isFetchable(const Peer&, TimePoint now) const;
+    // Whether the store has answered the peer since the last loss of a reader, or that loss is long ago.
+    bool isConfirmed(const Peer&, TimePoint now) const;
+    bool isReaderBefore(const std::pair<const Endpoint, Peer>&, TimePoint now) const;
 
     Endpoint self;
     std::vector<Endpoint> seeds;
     std::map<Endpoint, Peer> peers;
+    std::optional<TimePoint> readerLostAt; // when a peer last announced that it no longer reaches the store
 };
 
 }
--- a/test/unit/PeerBalancerDirectoryTest.cpp
+++ b/test/unit/PeerBalancerDirectoryTest.cpp
@@ -216,7 +216,7 @@
     PeerBalancers peers(balancer(1));
     const auto update = [&](PeerBalancers::TimePoint now) {
         peer.expire(now);
-        peers.recordHello(balancer(2), { 1, peer.version(), true, peer.digest(), 3, peer.awaitsHosts() }, now);
+        peers.recordHello(balancer(2), { 1, peer.version(), true, peer.digest(), 3, {}, peer.awaitsHosts() }, now);
         started.setBehind(peers.isAnyAwaitingHosts(now));
     };
     update(back);
@@ -224,3 +224,47 @@
     update(back + HostDirectory::missingHostTimeout);
     CHECK(started.isCurrent());
 }
+
+// review/12 (DRAIN, CONFIG): the readers and the balancer after them in the order were turned away by the store in
+// silence. The next one began to read it only when the calls of all of them had failed, which takes 3.5 s.
+TEST_CASE("after a reader has lost the store, others read it until the remaining readers have had an answer")
+{
+    constexpr std::uint32_t count = 40;
+    std::vector<std::uint32_t> order;
+    const auto readersAt = [&](milliseconds time, const std::vector<std::uint32_t>& answered) {
+        std::vector<std::uint32_t> readers;
+        for (std::uint32_t self = 1; self <= count; ++self) {
+            PeerBalancers peers(balancer(self));
+            const auto record = [&](std::uint32_t peer, bool isAvailable, milliseconds age, milliseconds at) {
+                peers.recordHello(balancer(peer), { 1, { 0, 50 }, isAvailable, 0, 0, age }, start + at);
+            };
+            for (std::uint32_t peer = 1; peer <= count; ++peer) {
+                record(peer, true, milliseconds(900), milliseconds(0));
+            }
+            for (std::uint32_t peer = 1; peer <= count && time > milliseconds(0); ++peer) {
+                const bool hasAnswer = std::find(answered.begin(), answered.end(), peer) != answered.end();
+                const bool isLost = !order.empty() && peer == order.front();
+                record(peer, !isLost, hasAnswer ? milliseconds(0) : milliseconds(1900), milliseconds(1000));
+                record(peer, !isLost, hasAnswer ? milliseconds(50) : milliseconds(900) + time, time);
+            }
+            if (peers.isReader(start + time)) {
+                readers.push_back(self);
+            }
+        }
+        return readers;
+    };
+    const auto before = readersAt(milliseconds(0), {});
+    REQUIRE(before.size() == PeerBalancers::maximumReaders);
+    order.push_back(before.front());
+    const auto after = readersAt(milliseconds(1050), {});
+    // The lost one goes on trying; its two successors are doubled, and two more may be turned away as well.
+    CHECK(after.size() > 2 * PeerBalancers::maximumReaders - 1);
+    CHECK(after.size() <= 2 * PeerBalancers::maximumReaders + 1);
+    for (const std::uint32_t reader : before) {
+        CHECK(std::find(after.begin(), after.end(), reader) != after.end());
+    }
+    // Once the successors have had an answer, one more replaces the lost one.
+    CHECK(readersAt(milliseconds(1100), after).size() == PeerBalancers::maximumReaders + 1);
+    // The loss is long ago.
+    CHECK(readersAt(milliseconds(5100), {}).size() == PeerBalancers::maximumReaders + 1);
+}
